--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/AdapterVersion.kt
@@ -0,0 +1,27 @@
+package io.camphordrum.core
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Names one version of an adapter and prints as `name@version`.
+ *
+ * ```kotlin
+ * AdapterVersion.parse("reports@7") // AdapterVersion("reports", 7)
+ * ```
+ */
+@Serializable
+public data class AdapterVersion(public val adapter: String, public val version: Int) : Comparable<AdapterVersion> {
+    override fun compareTo(other: AdapterVersion): Int = compareValuesBy(this, other, { it.adapter }, { it.version })
+
+    override fun toString(): String = "$adapter@$version"
+
+    public companion object {
+        /** Parses `name@version`; returns null unless the name is non-empty and the version is a positive number. */
+        public fun parse(text: String): AdapterVersion? {
+            val at = text.lastIndexOf('@')
+            if (at <= 0) return null
+            val version = text.substring(at + 1).toIntOrNull() ?: return null
+            return if (version > 0) AdapterVersion(text.substring(0, at), version) else null
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/Clock.kt
@@ -0,0 +1,16 @@
+package io.camphordrum.core
+
+/**
+ * Supplies monotonic and wall-clock time to every decision.
+ *
+ * ```kotlin
+ * val deadline = clock.nanos() + 5_000_000_000L
+ * ```
+ */
+public interface Clock {
+    /** Returns monotonic time in nanoseconds; only differences are meaningful. */
+    public fun nanos(): Long
+
+    /** Returns wall-clock time in milliseconds since the Unix epoch; used for records, never for leases. */
+    public fun epochMillis(): Long
+}
