--- a/daemon/src/main/kotlin/io/camphordrum/daemon/DecisionThread.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/DecisionThread.kt
@@ -26,7 +26,7 @@
     private var running = true
 
     /** Returns how many inputs wait in the ring. */
-    val depth: Int get() = ring.size()
+    val depth: Int get() = ring.size
 
     /** Starts the thread. */
     fun start() = thread.start()
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Settings.kt
@@ -72,7 +72,7 @@
     val text = try {
         Files.readString(file)
     } catch (e: IOException) {
-        return SettingsResult.Invalid("$file: expected a readable settings file, but ${e.javaClass.simpleName}: ${e.message}")
+        return SettingsResult.Invalid("$file: expected a readable settings file, but $e")
     }
     return parse(text, file.toString())
 }
@@ -106,7 +106,8 @@
     return when {
         instance.isBlank() -> "instance: expected a name, but it was blank"
         dataCentre.isBlank() -> "dataCentre: expected a name, but it was blank"
-        keySecret.length < MIN_SECRET -> "keySecret: expected at least $MIN_SECRET characters, but was ${keySecret.length}"
+        keySecret.length < MIN_SECRET ->
+            "keySecret: expected at least $MIN_SECRET characters, but was ${keySecret.length}"
         Integer.bitCount(ringSlots) != 1 -> "ringSlots: expected a power of two, but was $ringSlots"
         !platformUrl.startsWith("http") -> "platformUrl: expected an http or https address, but was $platformUrl"
         loadReportMillis < 10 -> "loadReportMillis: expected at least 10, but was $loadReportMillis"
