--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/request/FlowSettings.kt
@@ -0,0 +1,16 @@
+package io.camphordrum.core.request
+
+/**
+ * Bounds and times of a [RequestFlow].
+ *
+ * @property maxRequests requests without a final answer that may exist; further ones are refused.
+ * @property maxDispatches how often an idempotent request may be sent to endpoints.
+ * @property askRepeatNanos time after which an unanswered ask for a ticket is sent again.
+ * @property shortestRunNanos a ticket or deadline with less time left is not used.
+ */
+public data class FlowSettings(
+    public val maxRequests: Int = 16_384,
+    public val maxDispatches: Int = 3,
+    public val askRepeatNanos: Long = 500_000_000L,
+    public val shortestRunNanos: Long = 5_000_000L,
+)
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
@@ -0,0 +1,450 @@
+package io.camphordrum.core.request
+
+import io.camphordrum.core.CallerRequest
+import io.camphordrum.core.DispatchEnd
+import io.camphordrum.core.DispatchOrder
+import io.camphordrum.core.EndpointId
+import io.camphordrum.core.Member
+import io.camphordrum.core.Ran
+import io.camphordrum.core.Refusal
+import io.camphordrum.core.RefusalCode
+import io.camphordrum.core.config.KeyHash
+import io.camphordrum.core.config.Snapshot
+import io.camphordrum.core.limits.Admission
+import io.camphordrum.core.limits.ShareHolder
+import io.camphordrum.core.residency.DenyReason
+import io.camphordrum.core.residency.Router
+import io.camphordrum.core.residency.TicketOutcome
+import io.camphordrum.core.residency.TicketReport
+import io.camphordrum.core.residency.TicketRequest
+
+/**
+ * Takes each request from its arrival to its one final answer.
+ *
+ * A request passes these steps: resolve the name and the account, claim the idempotency key, charge the limit, obtain
+ * a ticket, run. Every path out of a step returns what the earlier steps hold. A refusal says "not run" only while no
+ * dispatch has been ordered, or when the endpoint client knows that no byte was sent.
+ *
+ * ```kotlin
+ * execute(flow.arrive(now, request))
+ * execute(flow.ended(now, id, dispatch, DispatchEnd.Completed(42, answer, firstTokenNanos)))
+ * ```
+ *
+ * @param snapshot the configuration in force, or null before the first is known.
+ * @param stale whether the configuration was last confirmed longer ago than the given number of seconds.
+ * @param address where an endpoint is reached, or null when it is unknown.
+ */
+public class RequestFlow(
+    private val self: Member,
+    private val snapshot: () -> Snapshot?,
+    stale: (now: Long, seconds: Long) -> Boolean,
+    private val shares: ShareHolder,
+    private val router: Router,
+    private val address: (EndpointId) -> String?,
+    private val settings: FlowSettings = FlowSettings(),
+) {
+    private val pending = HashMap<Long, Pending>()
+    private val deadlines = Deadlines()
+    private val budget = RetryBudget()
+    private val resolver = Resolver(stale)
+    private val asks = HashMap<Long, Pending>()
+    private var nextAsk = 0L
+    private var draining = false
+    private lateinit var out: MutableList<RequestEffect>
+
+    /** Requests that have no final answer yet. */
+    public val open: Int get() = pending.size
+
+    /** Takes a new request. */
+    public fun arrive(now: Long, request: CallerRequest): List<RequestEffect> = collect {
+        budget.arrived()
+        val config = snapshot()
+        val early = when {
+            config == null -> Refusal(RefusalCode.UNAVAILABLE, "no configuration yet", retryAfterMillis = RETRY_MILLIS)
+            draining -> Refusal(RefusalCode.UNAVAILABLE, "the instance is stopping", retryAfterMillis = RETRY_MILLIS)
+            pending.size >= settings.maxRequests ->
+                Refusal(RefusalCode.UNAVAILABLE, "too many requests in progress", retryAfterMillis = RETRY_MILLIS)
+            else -> null
+        }
+        if (early != null || config == null) {
+            out += RequestEffect.Refuse(request.id, early ?: return@collect)
+            return@collect
+        }
+        when (val resolved = resolver.resolve(now, config, request)) {
+            is Resolved.Bad -> out += RequestEffect.Refuse(request.id, resolved.refusal)
+            is Resolved.Ok -> begin(now, request, resolved.target)
+        }
+    }
+
+    /** Tells that the caller has gone; what runs is cancelled, what waits is dropped. */
+    public fun cancelled(now: Long, id: Long): List<RequestEffect> = collect {
+        val p = pending[id] ?: return@collect
+        if (p.step == Step.RUN) {
+            out += RequestEffect.CancelDispatch(id)
+        } else {
+            drop(now, p)
+        }
+    }
+
+    /** Takes the answer to [RequestEffect.Claim]. */
+    public fun claimed(now: Long, id: Long, answer: ClaimAnswer): List<RequestEffect> = collect {
+        val p = pending[id]
+        if (p == null || p.step != Step.CLAIM) return@collect
+        when (answer) {
+            ClaimAnswer.Proceed -> {
+                p.claimed = true
+                charge(now, p)
+            }
+            is ClaimAnswer.Replay -> {
+                out += RequestEffect.Answer(id, answer.answer)
+                remove(p)
+            }
+            is ClaimAnswer.Refused -> refuse(now, p, answer.refusal)
+        }
+    }
+
+    /** Takes a grant of [endpoint]'s owner for the ask [ask]; an unexpected ticket goes back unused. */
+    public fun granted(now: Long, endpoint: EndpointId, ask: Long, grant: TicketGrant): List<RequestEffect> = collect {
+        val p = asks[ask]
+        if (p == null || p.step != Step.TICKET || p.asked != endpoint) {
+            if (p?.ticket == grant.ticket && p.asked == endpoint) return@collect
+            out += RequestEffect.FinishTicket(endpoint, grant.ticket, TicketReport(TicketOutcome.NOT_RUN))
+            return@collect
+        }
+        router.answered(now, endpoint, grant.waitNanos, p.target.version)
+        val until = minOf(p.deadlineNanos, p.askedAtNanos + grant.validNanos)
+        val target = address(endpoint)
+        p.ticket = grant.ticket
+        when {
+            withdrawn(p) -> refuse(now, p, Refusal(RefusalCode.BAD_KEY, "the key was withdrawn"))
+            target == null || until - now < settings.shortestRunNanos -> nextCandidate(now, p)
+            else -> dispatch(now, p, endpoint, target, grant, until)
+        }
+    }
+
+    /** Takes a denial of [endpoint]'s owner for the ask [ask]. */
+    public fun denied(now: Long, endpoint: EndpointId, ask: Long, denial: TicketDenial): List<RequestEffect> = collect {
+        router.answered(now, endpoint, denial.waitNanos)
+        val p = asks[ask]
+        if (p == null || p.step != Step.TICKET || p.asked != endpoint) return@collect
+        p.denied = Denial("$endpoint: ${denial.reason.name.lowercase()}", denial.retryAfterNanos)
+        if (denial.reason == DenyReason.DEADLINE && p.candidate + 1 >= p.candidates.size) {
+            refuse(now, p, deadline(p, denial.retryAfterNanos))
+        } else {
+            nextCandidate(now, p)
+        }
+    }
+
+    /** Takes the end of [dispatch]; the end of an earlier dispatch of the same request is ignored. */
+    public fun ended(now: Long, id: Long, dispatch: String, end: DispatchEnd): List<RequestEffect> = collect {
+        val p = pending[id]
+        if (p == null || p.dispatch != dispatch) return@collect
+        when (end) {
+            is DispatchEnd.Completed -> completed(now, p, end)
+            is DispatchEnd.NotRun -> notRun(now, p, end)
+            is DispatchEnd.Failed -> failed(now, p, end)
+            is DispatchEnd.Cancelled -> {
+                finishTicket(p, TicketReport(TicketOutcome.UNKNOWN, end.usedTokens))
+                settle(now, p, end.usedTokens)
+                remove(p)
+            }
+        }
+    }
+
+    /** Asks again where an owner may have changed or vanished; [changed] tells which endpoints that concerns. */
+    public fun ownersChanged(now: Long, changed: (EndpointId) -> Boolean): List<RequestEffect> = collect {
+        for (p in pending.values.toList()) {
+            val asked = p.asked ?: continue
+            if (p.step == Step.TICKET && changed(asked)) ask(now, p, asked)
+        }
+    }
+
+    /** Refuses waiting requests whose key is no longer in force; running ones complete. */
+    public fun reconfigured(now: Long): List<RequestEffect> = collect {
+        for (p in pending.values.toList()) {
+            if (p.step != Step.RUN && withdrawn(p)) {
+                refuse(now, p, Refusal(RefusalCode.BAD_KEY, "the key was withdrawn"))
+            }
+        }
+    }
+
+    /** Takes no new requests from now on. */
+    public fun drain() {
+        draining = true
+    }
+
+    /** Does what is due at [now]. */
+    public fun tick(now: Long): List<RequestEffect> = collect {
+        for (id in deadlines.due(now)) {
+            val p = pending[id] ?: continue
+            if (now - p.deadlineNanos >= 0) expire(now, p) else if (now - p.wakeNanos >= 0) wake(now, p)
+        }
+    }
+
+    private fun begin(now: Long, request: CallerRequest, target: Target) {
+        val millis = request.deadlineMillis ?: target.settings.deadlineMillis
+        val p = Pending(request, target, request.arrivedNanos + millis * MILLI)
+        pending[p.id] = p
+        deadlines.add(p.deadlineNanos, p.id)
+        val key = p.idempotencyKey
+        if (key == null) charge(now, p) else out += RequestEffect.Claim(p.id, claimKey(p, key), request.fingerprint)
+    }
+
+    private fun charge(now: Long, p: Pending) {
+        p.step = Step.LIMIT
+        p.limitUntilNanos = minOf(p.deadlineNanos, now + p.target.settings.limitWaitMillis * MILLI)
+        tryCharge(now, p)
+    }
+
+    private fun tryCharge(now: Long, p: Pending) {
+        val target = p.target
+        when (val admission = shares.admit(now, target.account, target.charge)) {
+            Admission.Granted -> {
+                p.chargedAtNanos = now
+                findTicket(now, p)
+            }
+            is Admission.Wait -> {
+                if (now - p.limitUntilNanos < 0) {
+                    wakeAt(p, minOf(admission.untilNanos, p.limitUntilNanos))
+                } else {
+                    refuse(now, p, overLimit(p, admission.untilNanos - now))
+                }
+            }
+            is Admission.Refused -> refuse(now, p, overLimit(p, admission.retryAfterNanos))
+        }
+    }
+
+    private fun overLimit(p: Pending, retryAfterNanos: Long): Refusal {
+        val account = p.target.account
+        if (retryAfterNanos != Admission.NEVER) {
+            val millis = millis(retryAfterNanos)
+            return Refusal(RefusalCode.OVER_LIMIT, "client account $account is over its rate", retryAfterMillis = millis)
+        }
+        val message = "expected a charge within the burst of client account $account, but was ${p.target.charge} tokens"
+        return Refusal(RefusalCode.TOO_LARGE, message)
+    }
+
+    private fun findTicket(now: Long, p: Pending) {
+        p.step = Step.TICKET
+        p.candidates = candidates(now, p)
+        p.candidate = 0
+        p.patient = false
+        val first = p.candidates.firstOrNull()
+        if (first == null) {
+            refuse(now, p, Refusal(RefusalCode.UNAVAILABLE, p.denied.message, retryAfterMillis = RETRY_MILLIS))
+        } else {
+            ask(now, p, first)
+        }
+    }
+
+    private fun candidates(now: Long, p: Pending): List<EndpointId> {
+        val target = p.target
+        val version = target.version
+        val base = target.base
+        return if (version != null && base != null) {
+            router.choose(now, version, base)
+        } else {
+            router.choose(now, target.pool.orEmpty(), p.id)
+        }
+    }
+
+    private fun ask(now: Long, p: Pending, endpoint: EndpointId) {
+        asks.remove(p.askId)
+        p.asked = endpoint
+        p.askId = ++nextAsk
+        p.askedAtNanos = now
+        asks[p.askId] = p
+        sendAsk(p, endpoint)
+        wakeAt(p, now + settings.askRepeatNanos)
+    }
+
+    private fun sendAsk(p: Pending, endpoint: EndpointId) {
+        val target = p.target
+        val millis = if (p.patient || p.candidates.size == 1) {
+            target.settings.queueMillis
+        } else {
+            target.settings.spillWaitMillis
+        }
+        out += RequestEffect.AskOwner(
+            endpoint,
+            TicketRequest(
+                from = self,
+                request = p.askId,
+                account = target.account,
+                version = target.version,
+                tokens = target.charge,
+                deadlineNanos = p.deadlineNanos,
+                priority = target.settings.priority,
+                maxWaitNanos = millis * MILLI,
+            ),
+        )
+    }
+
+    private fun nextCandidate(now: Long, p: Pending) {
+        finishTicket(p, TicketReport(TicketOutcome.NOT_RUN))
+        p.candidate++
+        if (p.candidate >= p.candidates.size && !p.patient && p.candidates.size > 1) {
+            p.patient = true
+            p.candidate = 0
+            // The answers of the first round have told the waits, so the order is now by the shortest.
+            p.candidates = candidates(now, p)
+        }
+        val next = p.candidates.getOrNull(p.candidate)
+        if (next != null) return ask(now, p, next)
+        val retry = maxOf(millis(p.denied.retryAfterNanos), SHORTEST_RETRY_MILLIS)
+        refuse(now, p, Refusal(RefusalCode.UNAVAILABLE, p.denied.message, retryAfterMillis = retry))
+    }
+
+    private fun dispatch(
+        now: Long,
+        p: Pending,
+        endpoint: EndpointId,
+        address: String,
+        grant: TicketGrant,
+        untilNanos: Long,
+    ) {
+        p.step = Step.RUN
+        p.dispatches++
+        // A claim that has been used can no longer be given up.
+        p.claimed = false
+        val id = "${self.instance}-${self.incarnation}-${p.id}-${p.dispatches}"
+        p.dispatch = id
+        out += RequestEffect.Dispatch(
+            DispatchOrder(
+                request = p.id,
+                dispatch = id,
+                endpoint = endpoint,
+                address = address,
+                version = p.target.version,
+                fencing = grant.fencing,
+                priority = p.target.settings.priority,
+                maxTokens = p.target.maxTokens,
+                timeoutMillis = maxOf(1, (untilNanos - now) / MILLI),
+            ),
+        )
+        if (untilNanos - p.deadlineNanos < 0) wakeAt(p, untilNanos)
+    }
+
+    private fun completed(now: Long, p: Pending, end: DispatchEnd.Completed) {
+        finishTicket(p, TicketReport(TicketOutcome.COMPLETED, maxOf(0, end.usedTokens), end.firstTokenNanos))
+        settle(now, p, end.usedTokens)
+        val answer = end.answer
+        if (answer != null) {
+            out += RequestEffect.Answer(p.id, answer)
+            p.idempotencyKey?.let { out += RequestEffect.CompleteClaim(p.id, claimKey(p, it), answer) }
+        }
+        remove(p)
+    }
+
+    private fun notRun(now: Long, p: Pending, end: DispatchEnd.NotRun) {
+        p.dispatch = null
+        p.step = Step.TICKET
+        p.claimed = p.idempotencyKey != null
+        p.denied = Denial(end.reason, RETRY_MILLIS * MILLI)
+        if (p.dispatches < settings.maxDispatches) return nextCandidate(now, p)
+        refuse(now, p, Refusal(RefusalCode.UNAVAILABLE, end.reason, retryAfterMillis = RETRY_MILLIS))
+    }
+
+    private fun failed(now: Long, p: Pending, end: DispatchEnd.Failed) {
+        finishTicket(p, TicketReport(TicketOutcome.UNKNOWN, end.usedTokens))
+        val again = !p.atMostOnce && !end.reachedCaller && p.dispatches < settings.maxDispatches
+        if (again && now - p.deadlineNanos < 0 && budget.take()) {
+            p.dispatch = null
+            p.step = Step.TICKET
+            return nextCandidate(now, p)
+        }
+        settle(now, p, DispatchEnd.UNKNOWN_USAGE)
+        val message = "the endpoint failed: ${end.reason}"
+        out += RequestEffect.Refuse(p.id, Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.UNKNOWN))
+        remove(p)
+    }
+
+    private fun wake(now: Long, p: Pending) {
+        when (p.step) {
+            Step.LIMIT -> tryCharge(now, p)
+            Step.TICKET -> {
+                // The ask or its answer may have been lost; the owner answers a repeated ask in the same way.
+                p.asked?.let { sendAsk(p, it) }
+                wakeAt(p, now + settings.askRepeatNanos)
+            }
+            Step.RUN -> expire(now, p)
+            Step.CLAIM -> Unit
+        }
+    }
+
+    private fun expire(now: Long, p: Pending) {
+        if (p.step != Step.RUN) return refuse(now, p, deadline(p, 0))
+        out += RequestEffect.CancelDispatch(p.id)
+        finishTicket(p, TicketReport(TicketOutcome.UNKNOWN))
+        settle(now, p, DispatchEnd.UNKNOWN_USAGE)
+        val message = "the deadline passed while the request ran"
+        out += RequestEffect.Refuse(p.id, Refusal(RefusalCode.DEADLINE, message, Ran.UNKNOWN))
+        remove(p)
+    }
+
+    private fun deadline(p: Pending, retryAfterNanos: Long): Refusal {
+        val millis = maxOf(millis(retryAfterNanos), SHORTEST_RETRY_MILLIS)
+        val message = "the request cannot finish before its deadline: ${p.denied.message}"
+        return Refusal(RefusalCode.DEADLINE, message, retryAfterMillis = millis)
+    }
+
+    private fun withdrawn(p: Pending): Boolean {
+        val hash = p.request.keyHash ?: return false
+        return snapshot()?.account(KeyHash(hash)) == null
+    }
+
+    /** Ends a request that has not run; everything that it holds is returned. */
+    private fun refuse(now: Long, p: Pending, refusal: Refusal) {
+        out += RequestEffect.Refuse(p.id, refusal)
+        drop(now, p)
+    }
+
+    private fun drop(now: Long, p: Pending) {
+        finishTicket(p, TicketReport(TicketOutcome.NOT_RUN))
+        settle(now, p, 0)
+        if (p.claimed) p.idempotencyKey?.let { out += RequestEffect.ReleaseClaim(p.id, claimKey(p, it)) }
+        remove(p)
+    }
+
+    private fun finishTicket(p: Pending, report: TicketReport) {
+        val endpoint = p.asked ?: return
+        val ticket = p.ticket ?: return
+        p.ticket = null
+        out += RequestEffect.FinishTicket(endpoint, ticket, report)
+    }
+
+    private fun settle(now: Long, p: Pending, usedTokens: Long) {
+        val at = p.chargedAtNanos ?: return
+        p.chargedAtNanos = null
+        val charge = p.target.charge
+        val used = if (p.target.version == null || usedTokens < 0) charge else minOf(charge, usedTokens)
+        val kept = if (p.dispatches == 0) 0 else used
+        shares.settle(now, p.target.account, charge, kept, at)
+    }
+
+    private fun remove(p: Pending) {
+        pending.remove(p.id)
+        asks.remove(p.askId)
+    }
+
+    private fun wakeAt(p: Pending, at: Long) {
+        p.wakeNanos = at
+        deadlines.add(at, p.id)
+    }
+
+    private fun claimKey(p: Pending, key: String) = "${p.target.account}/$key"
+
+    private inline fun collect(step: () -> Unit): List<RequestEffect> {
+        out = ArrayList()
+        step()
+        return out
+    }
+
+    private companion object {
+        const val MILLI = 1_000_000L
+        const val RETRY_MILLIS = 1_000L
+        const val SHORTEST_RETRY_MILLIS = 50L
+
+        fun millis(nanos: Long): Long = (nanos + MILLI - 1) / MILLI
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/request/TicketAnswers.kt
@@ -0,0 +1,23 @@
+package io.camphordrum.core.request
+
+import io.camphordrum.core.residency.DenyReason
+
+/**
+ * Carries what an owner granted.
+ *
+ * @property validNanos life of the ticket, counted from when the request was first sent to the owner.
+ * @property waitNanos the wait that the next request of the same account would meet.
+ */
+public data class TicketGrant(
+    public val ticket: Long,
+    public val fencing: Long,
+    public val validNanos: Long,
+    public val waitNanos: Long,
+)
+
+/** Carries why an owner denied, and the wait that it expects. */
+public data class TicketDenial(
+    public val reason: DenyReason,
+    public val retryAfterNanos: Long,
+    public val waitNanos: Long,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
@@ -0,0 +1,173 @@
+package io.camphordrum.daemon
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.UnprocessedRequestException
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.ResponseHeaders
+import io.camphordrum.core.AdapterVersion
+import io.camphordrum.core.DispatchEnd
+import io.camphordrum.core.DispatchOrder
+import io.camphordrum.core.RecordedAnswer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+
+/** Names of the headers that travel between daemons and endpoints. */
+object EndpointHeaders {
+    const val ADAPTER_VERSION = "x-adapter-version"
+    const val DISPATCH_ID = "x-dispatch-id"
+    const val FENCING = "x-fencing"
+    const val PRIORITY = "x-priority"
+}
+
+/**
+ * Sends requests and orders to endpoints and verifies what they answer.
+ *
+ * Every answer must repeat the dispatch id and the adapter version; any other answer ends as
+ * [DispatchEnd.Failed] and none of it reaches the caller.
+ */
+class EndpointClient(private val factory: ClientFactory) {
+    private val clients = ConcurrentHashMap<String, WebClient>()
+
+    /** Runs [order] for [exchange] and reports its end exactly once through [onEnd]. */
+    fun dispatch(order: DispatchOrder, exchange: Exchange, onEnd: (DispatchEnd) -> Unit) {
+        val once = OneEnd(onEnd)
+        val request = exchange.toEndpoint(order)
+        val response = client(order.address).execute(withDispatchHeaders(request, order))
+        if (exchange.streaming) {
+            relayStream(order, response, exchange, once)
+        } else {
+            relayWhole(order, response, exchange, once)
+        }
+    }
+
+    /** Orders an endpoint to load or unload [version]; [onEnd] receives the HTTP status, or null without an answer. */
+    fun order(address: String, load: Boolean, version: AdapterVersion, fencing: Long, onEnd: (Int?) -> Unit) {
+        val path = if (load) "/v1/load_lora_adapter" else "/v1/unload_lora_adapter"
+        val body = buildJsonObject {
+            put("lora_name", version.toString())
+            if (load) put("lora_path", "${version.adapter}/${version.version}")
+        }
+        val headers = RequestHeaders.builder(HttpMethod.POST, path)
+            .contentType(MediaType.JSON_UTF_8)
+            .set(EndpointHeaders.FENCING, fencing.toString())
+            .build()
+        val request = HttpRequest.of(headers, com.linecorp.armeria.common.HttpData.ofUtf8(body.toString()))
+        client(address).execute(request).aggregate().handle { answer, _ -> onEnd(answer?.status()?.code()) }
+    }
+
+    /** Reads the load page of an endpoint; [onEnd] receives its text, or null when it cannot be read. */
+    fun metrics(address: String, onEnd: (String?) -> Unit) {
+        client(address).get("/metrics").aggregate().handle { answer, _ ->
+            onEnd(answer?.takeIf { it.status().isSuccess }?.contentUtf8())
+        }
+    }
+
+    private fun client(address: String): WebClient = clients.computeIfAbsent(address) {
+        WebClient.builder("http://$it")
+            .factory(factory)
+            .responseTimeout(Duration.ofSeconds(LONGEST_ANSWER_SECONDS))
+            .maxResponseLength(MAX_ANSWER_BYTES)
+            .build()
+    }
+
+    private fun withDispatchHeaders(request: HttpRequest, order: DispatchOrder): HttpRequest {
+        val headers = request.headers().toBuilder()
+            .set(EndpointHeaders.DISPATCH_ID, order.dispatch)
+            .set(EndpointHeaders.FENCING, order.fencing.toString())
+            .set(EndpointHeaders.PRIORITY, order.priority.toString())
+        order.version?.let { headers.set(EndpointHeaders.ADAPTER_VERSION, it.toString()) }
+        return request.withHeaders(headers)
+    }
+
+    private fun relayWhole(order: DispatchOrder, response: HttpResponse, exchange: Exchange, once: OneEnd) {
+        val future = response.aggregate()
+        exchange.cancelDispatch = { future.cancel(true) }
+        future.handle { answer, error ->
+            when {
+                answer != null -> once.end(wholeEnd(order, answer))
+                exchange.callerGone -> once.end(DispatchEnd.Cancelled(0))
+                else -> once.end(failure(error, 0, reachedCaller = false))
+            }
+        }
+    }
+
+    private fun wholeEnd(order: DispatchOrder, answer: AggregatedHttpResponse): DispatchEnd {
+        val fault = headerFault(order, answer.headers())
+        if (fault != null) return fault
+        val body = answer.contentUtf8()
+        val type = answer.contentType()?.toString() ?: MediaType.OCTET_STREAM.toString()
+        val recorded = RecordedAnswer(answer.status().code(), type, body)
+        if (order.version == null) return DispatchEnd.Completed(0, recorded)
+        val json = parseObject(body)
+            ?: return DispatchEnd.Failed("expected a JSON object from ${order.endpoint}, but the body is not", 0, false)
+        return DispatchEnd.Completed(Usage.of(json)?.totalTokens ?: Usage.UNKNOWN, recorded)
+    }
+
+    private fun relayStream(order: DispatchOrder, response: HttpResponse, exchange: Exchange, once: OneEnd) {
+        val split = response.split()
+        exchange.cancelDispatch = { split.body().abort() }
+        split.headers().handle { headers, error ->
+            val fault = if (headers == null) failure(error, 0, false) else headerFault(order, headers)
+            if (fault != null) {
+                split.body().abort()
+                once.end(if (exchange.callerGone) DispatchEnd.Cancelled(0) else fault)
+            } else {
+                split.body().subscribe(StreamRelay(exchange, once))
+            }
+        }
+    }
+
+    private fun headerFault(order: DispatchOrder, headers: ResponseHeaders): DispatchEnd? {
+        val status = headers.status().code()
+        val where = "from ${order.endpoint}"
+        if (order.version != null && status in REFUSED_BEFORE_RUN) return DispatchEnd.NotRun("status $status $where")
+        if (headers.get(EndpointHeaders.DISPATCH_ID) != order.dispatch) {
+            val came = headers.get(EndpointHeaders.DISPATCH_ID)
+            return DispatchEnd.Failed("expected dispatch ${order.dispatch} $where, but came $came", 0, false)
+        }
+        val version = order.version ?: return null
+        if (!headers.status().isSuccess) return DispatchEnd.Failed("status $status $where", 0, false)
+        val served = headers.get(EndpointHeaders.ADAPTER_VERSION)
+        if (served == version.toString()) return null
+        return DispatchEnd.Failed("expected adapter $version $where, but came $served", 0, false)
+    }
+
+    private companion object {
+        const val LONGEST_ANSWER_SECONDS = 600L
+        const val MAX_ANSWER_BYTES = 16L shl 20
+
+        // Engines answer with these before they run anything: adapter not resident, old fencing number, overload.
+        val REFUSED_BEFORE_RUN = setOf(404, 409, 429, 503)
+    }
+}
+
+/** Reports the end of a dispatch once, whichever of several paths comes first. */
+internal class OneEnd(private val onEnd: (DispatchEnd) -> Unit) {
+    private val ended = java.util.concurrent.atomic.AtomicBoolean()
+
+    fun end(end: DispatchEnd) {
+        if (ended.compareAndSet(false, true)) onEnd(end)
+    }
+}
+
+internal fun failure(error: Throwable?, usedTokens: Long, reachedCaller: Boolean): DispatchEnd {
+    val reason = error?.let { "${it.javaClass.simpleName}: ${it.message}" } ?: "no answer"
+    return if (error is UnprocessedRequestException || error?.cause is UnprocessedRequestException) {
+        DispatchEnd.NotRun(reason)
+    } else {
+        DispatchEnd.Failed(reason, usedTokens, reachedCaller)
+    }
+}
+
+internal fun parseObject(text: String): JsonObject? =
+    runCatching { Json.parseToJsonElement(text) as? JsonObject }.getOrNull()
--- /dev/null
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Exchange.kt
@@ -0,0 +1,95 @@
+package io.camphordrum.daemon
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpResponseWriter
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import io.camphordrum.core.DispatchOrder
+import io.camphordrum.core.Ran
+import io.camphordrum.core.RecordedAnswer
+import io.camphordrum.core.Refusal
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import java.util.concurrent.CompletableFuture
+
+/**
+ * Connects one caller with the daemon until its answer ends.
+ *
+ * @property toEndpoint builds the request that an endpoint receives; it never contains the caller's key.
+ * @property streaming whether the caller asked for server-sent events.
+ */
+class Exchange(
+    val id: Long,
+    val streaming: Boolean,
+    val toEndpoint: (DispatchOrder) -> HttpRequest,
+) {
+    private val answer = CompletableFuture<HttpResponse>()
+    private var writer: HttpResponseWriter? = null
+
+    /** The response that the caller's connection waits for. */
+    val response: HttpResponse = HttpResponse.of(answer)
+
+    /** Cancels the dispatch that runs now; replaced with every dispatch. */
+    @Volatile
+    var cancelDispatch: () -> Unit = {}
+
+    /** Whether the caller's connection or stream has been closed by the caller. */
+    @Volatile
+    var callerGone = false
+
+    /** Returns whether a part of an answer has been sent. */
+    val started: Boolean get() = answer.isDone
+
+    /** Ends the exchange with a refusal; a stream that has begun gets an explicit error event. */
+    @Synchronized
+    fun refuse(refusal: Refusal) {
+        val stream = writer
+        if (stream == null) {
+            answer.complete(errorResponse(refusal))
+        } else if (stream.isOpen) {
+            stream.tryWrite(HttpData.ofUtf8("event: error\ndata: ${errorBody(refusal)}\n\n"))
+            stream.close()
+        }
+    }
+
+    /** Ends the exchange with a whole answer. */
+    @Synchronized
+    fun complete(recorded: RecordedAnswer) {
+        val type = MediaType.parse(recorded.contentType)
+        answer.complete(HttpResponse.of(HttpStatus.valueOf(recorded.status), type, HttpData.ofUtf8(recorded.body)))
+    }
+
+    /** Begins a stream of server-sent events. */
+    @Synchronized
+    fun open(): HttpResponseWriter {
+        writer?.let { return it }
+        val stream = HttpResponse.streaming()
+        stream.write(ResponseHeaders.of(HttpStatus.OK, HttpHeaderNames.CONTENT_TYPE, "text/event-stream"))
+        writer = stream
+        answer.complete(stream)
+        return stream
+    }
+}
+
+/** Returns the JSON body that describes [refusal]. */
+fun errorBody(refusal: Refusal): JsonObject = buildJsonObject {
+    putJsonObject("error") {
+        put("code", refusal.code.code)
+        put("message", refusal.message)
+        put("ran", if (refusal.ran == Ran.NO) "no" else "unknown")
+        refusal.retryAfterMillis?.let { put("retryAfterMs", it) }
+    }
+}
+
+/** Returns the HTTP response that describes [refusal], with `Retry-After` in whole seconds where there is a delay. */
+fun errorResponse(refusal: Refusal): HttpResponse {
+    val headers = ResponseHeaders.builder(refusal.code.status).contentType(MediaType.JSON_UTF_8)
+    refusal.retryAfterMillis?.let { headers.set(HttpHeaderNames.RETRY_AFTER, ((it + 999) / 1000).toString()) }
+    return HttpResponse.of(headers.build(), HttpData.ofUtf8(errorBody(refusal).toString()))
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Usage.kt
@@ -0,0 +1,21 @@
+package io.camphordrum.daemon
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.longOrNull
+
+/** Reads the token usage that engines state in their answers. */
+internal data class Usage(val totalTokens: Long) {
+    companion object {
+        /** Stands for an answer without a usage statement; the full charge is kept then. */
+        const val UNKNOWN = -1L
+
+        fun of(answer: JsonObject): Usage? {
+            val usage = answer["usage"] as? JsonObject ?: return null
+            fun tokens(name: String) = runCatching { usage[name]?.jsonPrimitive?.longOrNull }.getOrNull()
+            val total = tokens("total_tokens")
+                ?: listOfNotNull(tokens("prompt_tokens"), tokens("completion_tokens")).sum()
+            return Usage(total)
+        }
+    }
+}
