Add the public API of the residency package

Cause: the daemon is integrated against the endpoint owner and the router while their decisions are still being written.

--- a/core/src/main/kotlin/io/camphordrum/core/residency/TicketMessage.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/TicketMessage.kt
@@ -1,7 +1,72 @@
 package io.camphordrum.core.residency
 
+import io.camphordrum.core.AccountId
+import io.camphordrum.core.AdapterVersion
+import io.camphordrum.core.EndpointId
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Asks for, grants, denies and ends the use of an endpoint. */
 @Serializable
-public sealed interface TicketMessage
+public sealed interface TicketMessage {
+    /**
+     * Asks the owner of [endpoint] for a ticket; sending it again with the same [id] repeats the answer.
+     *
+     * @property id unique among the requests of the sending member.
+     * @property version null on a plain service.
+     * @property tokens prompt plus maximum output tokens.
+     * @property priority higher goes first within the account.
+     * @property remainingMillis time from sending until the request's deadline.
+     * @property maxWaitMillis the owner denies at once when it expects a longer wait; 0 means no bound.
+     */
+    @Serializable
+    @SerialName("q")
+    public data class Request(
+        @SerialName("i") public val id: Long,
+        @SerialName("e") public val endpoint: EndpointId,
+        @SerialName("v") public val version: AdapterVersion? = null,
+        @SerialName("a") public val account: AccountId,
+        @SerialName("t") public val tokens: Long,
+        @SerialName("p") public val priority: Int = 0,
+        @SerialName("d") public val remainingMillis: Int,
+        @SerialName("w") public val maxWaitMillis: Int = 0,
+    ) : TicketMessage
+
+    /**
+     * Allows the request [id] to be dispatched.
+     *
+     * @property validMillis life of the ticket, counted by the holder from the moment it first sent the request, so
+     *   that the holder's view of the expiry is never later than the owner's.
+     * @property waitMillis the wait that the next request of the same account would meet.
+     */
+    @Serializable
+    @SerialName("g")
+    public data class Grant(
+        @SerialName("i") public val id: Long,
+        @SerialName("k") public val ticket: Long,
+        @SerialName("f") public val fencing: Long,
+        @SerialName("l") public val validMillis: Int,
+        @SerialName("w") public val waitMillis: Int = 0,
+    ) : TicketMessage
+
+    /** Refuses the request [id], which has not run; [waitMillis] is the wait that the owner expects. */
+    @Serializable
+    @SerialName("d")
+    public data class Deny(
+        @SerialName("i") public val id: Long,
+        @SerialName("r") public val reason: DenyReason,
+        @SerialName("b") public val retryAfterMillis: Int,
+        @SerialName("w") public val waitMillis: Int = 0,
+    ) : TicketMessage
+
+    /** Returns the ticket [ticket] of [endpoint]; times are in milliseconds, [usedTokens] counts prompt and output. */
+    @Serializable
+    @SerialName("f")
+    public data class Finish(
+        @SerialName("e") public val endpoint: EndpointId,
+        @SerialName("k") public val ticket: Long,
+        @SerialName("o") public val outcome: TicketOutcome,
+        @SerialName("u") public val usedTokens: Long = 0,
+        @SerialName("l") public val firstTokenMillis: Int = 0,
+    ) : TicketMessage
+}
