Describe the effects of the decision core

Cause: the daemon needs one typed list of what the core wants done. The request flow now names claims by the ledger's key and remembers the asks it gave up, so that a ticket that arrives late goes back to its owner.

--- a/core/src/main/kotlin/io/camphordrum/core/DispatchEnd.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/DispatchEnd.kt
@@ -1,6 +1,6 @@
 package io.camphordrum.core
 
-import kotlinx.serialization.Serializable
+import io.camphordrum.core.once.RecordedAnswer
 
 /** Tells how one dispatch to an endpoint ended. */
 public sealed interface DispatchEnd {
@@ -32,7 +32,3 @@
         public const val UNKNOWN_USAGE: Long = -1L
     }
 }
-
-/** Keeps the answer of a request that runs at most once, for repeats with the same idempotency key. */
-@Serializable
-public data class RecordedAnswer(public val status: Int, public val contentType: String, public val body: String)
--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestEffect.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestEffect.kt
@@ -2,8 +2,9 @@
 
 import io.camphordrum.core.DispatchOrder
 import io.camphordrum.core.EndpointId
-import io.camphordrum.core.RecordedAnswer
 import io.camphordrum.core.Refusal
+import io.camphordrum.core.once.ClaimKey
+import io.camphordrum.core.once.RecordedAnswer
 import io.camphordrum.core.residency.TicketReport
 import io.camphordrum.core.residency.TicketRequest
 
@@ -32,16 +33,16 @@
     ) : RequestEffect
 
     /** Claim the idempotency key of the request and report the answer to [RequestFlow.claimed]. */
-    public data class Claim(public val request: Long, public val key: String, public val fingerprint: Long) :
+    public data class Claim(public val request: Long, public val key: ClaimKey, public val fingerprint: Long) :
         RequestEffect
 
     /** Give up the claim of a request that has not run. */
-    public data class ReleaseClaim(public val request: Long, public val key: String) : RequestEffect
+    public data class ReleaseClaim(public val request: Long, public val key: ClaimKey) : RequestEffect
 
     /** Record the answer of a claimed request. */
     public data class CompleteClaim(
         public val request: Long,
-        public val key: String,
+        public val key: ClaimKey,
         public val answer: RecordedAnswer,
     ) : RequestEffect
 }
@@ -55,5 +56,5 @@
     public data class Replay(public val answer: RecordedAnswer) : ClaimAnswer
 
     /** The request must not run here. */
-    public data class Refused(public val refusal: io.camphordrum.core.Refusal) : ClaimAnswer
+    public data class Refused(public val refusal: Refusal) : ClaimAnswer
 }
--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
@@ -12,6 +12,7 @@
 import io.camphordrum.core.config.Snapshot
 import io.camphordrum.core.limits.Admission
 import io.camphordrum.core.limits.ShareHolder
+import io.camphordrum.core.once.ClaimKey
 import io.camphordrum.core.residency.DenyReason
 import io.camphordrum.core.residency.Router
 import io.camphordrum.core.residency.TicketOutcome
@@ -48,6 +49,7 @@
     private val budget = RetryBudget()
     private val resolver = Resolver(stale)
     private val asks = HashMap<Long, Pending>()
+    private val closedAsks = ClosedAsks(settings.closedAsks)
     private var nextAsk = 0L
     private var draining = false
     private lateinit var out: MutableList<RequestEffect>
@@ -103,15 +105,17 @@
         }
     }
 
-    /** Takes a grant of [endpoint]'s owner for the ask [ask]; an unexpected ticket goes back unused. */
-    public fun granted(now: Long, endpoint: EndpointId, ask: Long, grant: TicketGrant): List<RequestEffect> = collect {
+    /** Takes a grant for the ask [ask]; a ticket that is no longer wanted goes back unused. */
+    public fun granted(now: Long, ask: Long, grant: TicketGrant): List<RequestEffect> = collect {
         val p = asks[ask]
-        if (p == null || p.step != Step.TICKET || p.asked != endpoint) {
-            if (p?.ticket == grant.ticket && p.asked == endpoint) return@collect
+        val endpoint = p?.asked ?: closedAsks[ask] ?: return@collect
+        router.answered(now, endpoint, grant.waitNanos, grant.version)
+        if (p == null || p.step != Step.TICKET) {
+            // The owner repeats its answer to a repeated ask; the ticket in use must not be returned.
+            if (p?.ticket == grant.ticket) return@collect
             out += RequestEffect.FinishTicket(endpoint, grant.ticket, TicketReport(TicketOutcome.NOT_RUN))
             return@collect
         }
-        router.answered(now, endpoint, grant.waitNanos, p.target.version)
         val until = minOf(p.deadlineNanos, p.askedAtNanos + grant.validNanos)
         val target = address(endpoint)
         p.ticket = grant.ticket
@@ -122,11 +126,12 @@
         }
     }
 
-    /** Takes a denial of [endpoint]'s owner for the ask [ask]. */
-    public fun denied(now: Long, endpoint: EndpointId, ask: Long, denial: TicketDenial): List<RequestEffect> = collect {
+    /** Takes a denial for the ask [ask]. */
+    public fun denied(now: Long, ask: Long, denial: TicketDenial): List<RequestEffect> = collect {
+        val p = asks[ask] ?: return@collect
+        val endpoint = p.asked ?: return@collect
         router.answered(now, endpoint, denial.waitNanos)
-        val p = asks[ask]
-        if (p == null || p.step != Step.TICKET || p.asked != endpoint) return@collect
+        if (p.step != Step.TICKET) return@collect
         p.denied = Denial("$endpoint: ${denial.reason.name.lowercase()}", denial.retryAfterNanos)
         if (denial.reason == DenyReason.DEADLINE && p.candidate + 1 >= p.candidates.size) {
             refuse(now, p, deadline(p, denial.retryAfterNanos))
@@ -249,7 +254,7 @@
     }
 
     private fun ask(now: Long, p: Pending, endpoint: EndpointId) {
-        asks.remove(p.askId)
+        closeAsk(p)
         p.asked = endpoint
         p.askId = ++nextAsk
         p.askedAtNanos = now
@@ -424,7 +429,12 @@
 
     private fun remove(p: Pending) {
         pending.remove(p.id)
-        asks.remove(p.askId)
+        closeAsk(p)
+    }
+
+    private fun closeAsk(p: Pending) {
+        val asked = p.asked ?: return
+        if (asks.remove(p.askId) != null) closedAsks[p.askId] = asked
     }
 
     private fun wakeAt(p: Pending, at: Long) {
@@ -432,7 +442,7 @@
         deadlines.add(at, p.id)
     }
 
-    private fun claimKey(p: Pending, key: String) = "${p.target.account}/$key"
+    private fun claimKey(p: Pending, key: String) = ClaimKey(p.target.account, key)
 
     private inline fun collect(step: () -> Unit): List<RequestEffect> {
         out = ArrayList()
--- a/core/src/main/kotlin/io/camphordrum/core/request/TicketAnswers.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/TicketAnswers.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.request
 
+import io.camphordrum.core.AdapterVersion
 import io.camphordrum.core.residency.DenyReason
 
 /**
@@ -10,6 +11,7 @@
  */
 public data class TicketGrant(
     public val ticket: Long,
+    public val version: AdapterVersion?,
     public val fencing: Long,
     public val validNanos: Long,
     public val waitNanos: Long,
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
@@ -41,12 +42,13 @@
     /** Runs [order] for [exchange] and reports its end exactly once through [onEnd]. */
     fun dispatch(order: DispatchOrder, exchange: Exchange, onEnd: (DispatchEnd) -> Unit) {
         val once = OneEnd(onEnd)
+        val startNanos = System.nanoTime()
         val request = exchange.toEndpoint(order)
         val response = client(order.address).execute(withDispatchHeaders(request, order))
         if (exchange.streaming) {
-            relayStream(order, response, exchange, once)
+            relayStream(order, response, exchange, once, startNanos)
         } else {
-            relayWhole(order, response, exchange, once)
+            relayWhole(order, response, exchange, once, startNanos)
         }
     }
 
@@ -61,7 +63,7 @@
             .contentType(MediaType.JSON_UTF_8)
             .set(EndpointHeaders.FENCING, fencing.toString())
             .build()
-        val request = HttpRequest.of(headers, com.linecorp.armeria.common.HttpData.ofUtf8(body.toString()))
+        val request = HttpRequest.of(headers, HttpData.ofUtf8(body.toString()))
         client(address).execute(request).aggregate().handle { answer, _ -> onEnd(answer?.status()?.code()) }
     }
 
@@ -89,31 +91,31 @@
         return request.withHeaders(headers)
     }
 
-    private fun relayWhole(order: DispatchOrder, response: HttpResponse, exchange: Exchange, once: OneEnd) {
+    private fun relayWhole(order: DispatchOrder, response: HttpResponse, exchange: Exchange, once: OneEnd, startNanos: Long) {
         val future = response.aggregate()
         exchange.cancelDispatch = { future.cancel(true) }
         future.handle { answer, error ->
             when {
-                answer != null -> once.end(wholeEnd(order, answer))
+                answer != null -> once.end(wholeEnd(order, answer, System.nanoTime() - startNanos))
                 exchange.callerGone -> once.end(DispatchEnd.Cancelled(0))
                 else -> once.end(failure(error, 0, reachedCaller = false))
             }
         }
     }
 
-    private fun wholeEnd(order: DispatchOrder, answer: AggregatedHttpResponse): DispatchEnd {
+    private fun wholeEnd(order: DispatchOrder, answer: AggregatedHttpResponse, nanos: Long): DispatchEnd {
         val fault = headerFault(order, answer.headers())
         if (fault != null) return fault
         val body = answer.contentUtf8()
         val type = answer.contentType()?.toString() ?: MediaType.OCTET_STREAM.toString()
         val recorded = RecordedAnswer(answer.status().code(), type, body)
-        if (order.version == null) return DispatchEnd.Completed(0, recorded)
+        if (order.version == null) return DispatchEnd.Completed(0, recorded, nanos)
         val json = parseObject(body)
             ?: return DispatchEnd.Failed("expected a JSON object from ${order.endpoint}, but the body is not", 0, false)
-        return DispatchEnd.Completed(Usage.of(json)?.totalTokens ?: Usage.UNKNOWN, recorded)
+        return DispatchEnd.Completed(Usage.of(json)?.totalTokens ?: DispatchEnd.UNKNOWN_USAGE, recorded, nanos)
     }
 
-    private fun relayStream(order: DispatchOrder, response: HttpResponse, exchange: Exchange, once: OneEnd) {
+    private fun relayStream(order: DispatchOrder, response: HttpResponse, exchange: Exchange, once: OneEnd, startNanos: Long) {
         val split = response.split()
         exchange.cancelDispatch = { split.body().abort() }
         split.headers().handle { headers, error ->
@@ -122,7 +124,7 @@
                 split.body().abort()
                 once.end(if (exchange.callerGone) DispatchEnd.Cancelled(0) else fault)
             } else {
-                split.body().subscribe(StreamRelay(exchange, once))
+                split.body().subscribe(StreamRelay(exchange, once, startNanos))
             }
         }
     }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/StreamRelay.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/StreamRelay.kt
@@ -13,13 +13,18 @@
  * The stream is complete only when the event `[DONE]` has come. Events are relayed whole, so that an error event can
  * follow at any point. The caller's connection sets the pace.
  */
-internal class StreamRelay(private val exchange: Exchange, private val once: OneEnd) : Subscriber<HttpData> {
+internal class StreamRelay(
+    private val exchange: Exchange,
+    private val once: OneEnd,
+    private val startNanos: Long,
+) : Subscriber<HttpData> {
     private lateinit var subscription: Subscription
     private val pending = ByteArrayOutputStream()
     private var writer: HttpResponseWriter? = null
     private var newlines = 0
     private var events = 0L
-    private var usedTokens = Usage.UNKNOWN
+    private var usedTokens = DispatchEnd.UNKNOWN_USAGE
+    private var firstTokenNanos = 0L
     private var done = false
 
     override fun onSubscribe(s: Subscription) {
@@ -49,7 +54,7 @@
     override fun onComplete() {
         if (!done) return broken("the stream ended before [DONE]")
         writer?.close()
-        once.end(DispatchEnd.Completed(usedTokens, null))
+        once.end(DispatchEnd.Completed(usedTokens, null, firstTokenNanos))
     }
 
     // An event ends with an empty line; carriage returns before a newline are allowed.
@@ -71,7 +76,7 @@
             done = true
         } else {
             val json = parseObject(payload) ?: return
-            events++
+            if (events++ == 0L) firstTokenNanos = System.nanoTime() - startNanos
             Usage.of(json)?.let { usedTokens = it.totalTokens }
         }
         val stream = writer ?: exchange.open().also { writer = it }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Usage.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Usage.kt
@@ -7,9 +7,6 @@
 /** Reads the token usage that engines state in their answers. */
 internal data class Usage(val totalTokens: Long) {
     companion object {
-        /** Stands for an answer without a usage statement; the full charge is kept then. */
-        const val UNKNOWN = -1L
-
         fun of(answer: JsonObject): Usage? {
             val usage = answer["usage"] as? JsonObject ?: return null
             fun tokens(name: String) = runCatching { usage[name]?.jsonPrimitive?.longOrNull }.getOrNull()
