--- /dev/null
+++ b/standins/src/test/kotlin/io/camphordrum/standins/Platform.kt
@@ -0,0 +1,160 @@
+package io.camphordrum.standins
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.ServerBuilder
+import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.put
+import java.util.ArrayDeque
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * Stands in for the platform: object API, lagging instance list, and the counter of weight loads in flight.
+ *
+ * Control keys: `outage` (`"refuse"` answers 503, `"silent"` never answers, `"none"`), `delayMillis` (of every answer,
+ * after the effect), `loseAnswers` (the next n answers to effective writes are lost), `instances`, `instanceLagMillis`.
+ */
+class Platform(port: Int = 0) : StandIn(port) {
+    private class ShownInstances(val sinceNanos: Long, val list: JsonArray)
+
+    private val store = ObjectStore()
+    private val weights = WeightCounter()
+    private val calls = ConcurrentHashMap<String, Int>()
+    private val headers = ConcurrentHashMap.newKeySet<String>()
+    private val instances = ArrayDeque<ShownInstances>()
+    private val loseAnswers = AtomicInteger()
+
+    @Volatile private var outage = "none"
+
+    @Volatile private var delayMillis = 0L
+
+    @Volatile private var instanceLagMillis = 0L
+
+    fun start(): Platform = apply { open() }
+
+    override fun control(message: JsonObject) {
+        message["outage"]?.let { outage = it.jsonPrimitive.content }
+        message.long("delayMillis")?.let { delayMillis = it }
+        message.int("loseAnswers")?.let { loseAnswers.set(it) }
+        message.long("instanceLagMillis")?.let { instanceLagMillis = it }
+        message["instances"]?.let {
+            synchronized(instances) { instances.addLast(ShownInstances(System.nanoTime(), it.jsonArray)) }
+        }
+    }
+
+    override fun record(): JsonObject = buildJsonObject {
+        put("calls", buildJsonObject { for ((kind, count) in calls.toSortedMap()) put(kind, count) })
+        put("loads", weights.total)
+        put("maxLoadsInFlight", weights.maxInFlight)
+        put("headers", buildJsonArray { for (header in headers.sorted()) add(JsonPrimitive(header)) })
+    }
+
+    override fun routes(builder: ServerBuilder) {
+        builder.serviceUnder("/objects/") { ctx, req -> reached(req) { objectCall(ctx, req) } }
+        builder.service("/objects") { ctx, req -> reached(req) { listCall(ctx) } }
+        builder.service("/instances") { _, req -> reached(req) { count("instances") { json(shownInstances()) } } }
+        builder.service("/control/objects") { _, _ -> json(dump()) }
+        builder.service("/weights/begin") { _, _ -> json(buildJsonObject { put("inFlight", weights.begin()) }) }
+        builder.service("/weights/end") { _, _ ->
+            weights.end()
+            json(buildJsonObject { })
+        }
+    }
+
+    private fun reached(request: HttpRequest, step: () -> HttpResponse): HttpResponse {
+        for ((name, value) in request.headers()) if (headers.size < MAX_HEADERS) headers += "$name: $value"
+        return when (outage) {
+            "refuse" -> count("refused") { error(HttpStatus.SERVICE_UNAVAILABLE, "outage") }
+            "silent" -> count("unanswered") { silence() }
+            else -> step()
+        }
+    }
+
+    private fun count(kind: String, step: () -> HttpResponse): HttpResponse {
+        calls.merge(kind, 1, Int::plus)
+        return step()
+    }
+
+    private fun objectCall(ctx: ServiceRequestContext, request: HttpRequest): HttpResponse {
+        val name = ctx.decodedMappedPath().removePrefix("/")
+        return when (request.method()) {
+            HttpMethod.GET -> count("get") { delayed(delayMillis) { read(name) } }
+            HttpMethod.PUT -> count("put") { answer(request) { write(name, ctx.given("if-version"), it.content()) } }
+            else -> error(HttpStatus.METHOD_NOT_ALLOWED, "expected GET or PUT, but was ${request.method()}")
+        }
+    }
+
+    private fun read(name: String): HttpResponse {
+        val found = store.get(name) ?: return error(HttpStatus.NOT_FOUND, "no object $name")
+        val head = ResponseHeaders.builder(HttpStatus.OK).contentType(MediaType.OCTET_STREAM)
+        return HttpResponse.of(head.add("x-version", "${found.version}").build(), HttpData.wrap(found.value))
+    }
+
+    private fun write(name: String, expected: String?, value: HttpData): HttpResponse {
+        val version = expected?.toLongOrNull()
+            ?: return error(HttpStatus.BAD_REQUEST, "If-Version: expected a number, but was $expected")
+        if (value.length() > MAX_VALUE_BYTES) return error(HttpStatus.REQUEST_ENTITY_TOO_LARGE, "expected at most 1 MB")
+        val result = store.put(name, version, value.array())
+        if (result.applied && loseAnswers.getAndUpdate { maxOf(0, it - 1) } > 0) return silence()
+        if (!result.applied) calls.merge("conflict", 1, Int::plus)
+        val status = if (result.applied) HttpStatus.OK else HttpStatus.CONFLICT
+        val head = ResponseHeaders.builder(status).add("x-version", "${result.version}").build()
+        return delayed(delayMillis) { HttpResponse.of(head) }
+    }
+
+    private fun listCall(ctx: ServiceRequestContext): HttpResponse {
+        val prefix = ctx.queryParam("prefix").orEmpty()
+        val after = ctx.queryParam("watch")?.toLongOrNull()
+            ?: return count("list") { delayed(delayMillis) { json(names(store.changed(prefix, 0))) } }
+        val timeoutMillis = (ctx.queryParam("timeoutMs")?.toLongOrNull() ?: WATCH_MILLIS).coerceIn(0, MAX_WATCH_MILLIS)
+        return count("watch") {
+            HttpResponse.of(
+                store.watch(prefix, after, timeoutMillis).thenApply {
+                    delayed(delayMillis) { json(names(it)) }
+                },
+            )
+        }
+    }
+
+    private fun names(changed: Map<String, Long>) = buildJsonArray {
+        for ((name, version) in changed) {
+            add(
+                buildJsonObject {
+                    put("name", name)
+                    put("version", version)
+                },
+            )
+        }
+    }
+
+    private fun shownInstances(): JsonArray = synchronized(instances) {
+        val limit = System.nanoTime() - instanceLagMillis * 1_000_000
+        while (instances.size > 1 && instances.elementAt(1).sinceNanos - limit <= 0) instances.removeFirst()
+        instances.peekFirst()?.takeIf { it.sinceNanos - limit <= 0 }?.list ?: JsonArray(emptyList())
+    }
+
+    // Latin-1 keeps each byte of a value, so that a search for a key's text works on binary values too.
+    private fun dump() = buildJsonObject {
+        for ((name, stored) in store.all()) put(name, String(stored.value, Charsets.ISO_8859_1))
+    }
+
+    private companion object {
+        const val MAX_VALUE_BYTES = 1 shl 20
+        const val MAX_HEADERS = 10_000
+        const val WATCH_MILLIS = 30_000L
+        const val MAX_WATCH_MILLIS = 120_000L
+    }
+}
