--- a/core/src/main/kotlin/io/camphordrum/core/CoreEffect.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/CoreEffect.kt
@@ -1,9 +1,9 @@
 package io.camphordrum.core
 
-import io.camphordrum.core.config.ConfigMessage
-import io.camphordrum.core.config.SubmitOutcome
 import io.camphordrum.core.config.ChangeRecord
+import io.camphordrum.core.config.ConfigMessage
 import io.camphordrum.core.config.Snapshot
+import io.camphordrum.core.config.SubmitOutcome
 import io.camphordrum.core.limits.AllotmentRecord
 import io.camphordrum.core.limits.ShareMessage
 import io.camphordrum.core.membership.MembershipMessage
@@ -28,6 +28,9 @@
     /** End the request with a whole answer. */
     public data class Answer(override val request: Long, public val answer: RecordedAnswer) : Caller
 
+    /** Nothing more will be asked for the request. */
+    public data class Close(override val request: Long) : Caller
+
     /** Stop the dispatch that is running for the request. */
     public data class CancelDispatch(override val request: Long) : Caller
 
--- a/core/src/main/kotlin/io/camphordrum/core/Refusal.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/Refusal.kt
@@ -56,6 +56,9 @@
     /** An earlier request with the same idempotency key has an outcome that is not known. */
     OUTCOME_UNKNOWN(409, "outcome_unknown"),
 
+    /** An earlier request with the same idempotency key has run, but its answer is not kept. */
+    ANSWER_NOT_RECORDED(409, "answer_not_recorded"),
+
     /** The body, or the token charge of the request, is larger than allowed. */
     TOO_LARGE(413, "too_large"),
 
--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestEffect.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestEffect.kt
@@ -16,6 +16,9 @@
     /** End the request with a whole answer. */
     public data class Answer(public val request: Long, public val answer: RecordedAnswer) : RequestEffect
 
+    /** Nothing more will be asked for the request; it comes after every other effect for it. */
+    public data class Close(public val request: Long) : RequestEffect
+
     /** Send the request to an endpoint and report the end to [RequestFlow.ended]. */
     public data class Dispatch(public val order: DispatchOrder) : RequestEffect
 
--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
@@ -182,7 +182,11 @@
     public fun tick(now: Long): List<RequestEffect> = collect {
         for (id in deadlines.due(now)) {
             val p = pending[id] ?: continue
-            if (now - p.deadlineNanos >= 0) expire(now, p) else if (now - p.wakeNanos >= 0) wake(now, p)
+            if (now - p.deadlineNanos >= 0) {
+                expire(now, p)
+            } else if (now - p.wakeNanos >= 0) {
+                wake(now, p)
+            }
         }
     }
 
@@ -223,7 +227,11 @@
         val account = p.target.account
         if (retryAfterNanos != Admission.NEVER) {
             val millis = millis(retryAfterNanos)
-            return Refusal(RefusalCode.OVER_LIMIT, "client account $account is over its rate", retryAfterMillis = millis)
+            return Refusal(
+                RefusalCode.OVER_LIMIT,
+                "client account $account is over its rate",
+                retryAfterMillis = millis,
+            )
         }
         val message = "expected a charge within the burst of client account $account, but was ${p.target.charge} tokens"
         return Refusal(RefusalCode.TOO_LARGE, message)
@@ -430,6 +438,7 @@
     private fun remove(p: Pending) {
         pending.remove(p.id)
         closeAsk(p)
+        out += RequestEffect.Close(p.id)
     }
 
     private fun closeAsk(p: Pending) {
--- a/core/src/main/kotlin/io/camphordrum/core/request/Resolver.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/Resolver.kt
@@ -39,7 +39,15 @@
             ModelResolution.UnknownVersion -> return refused(RefusalCode.NOT_FOUND, "no such version: ${work.model}")
         }
         val settings = found.settings
-        val account = when (val charged = charged(now, snapshot, request, settings, "adapter ${found.version.adapter}")) {
+        val account = when (
+            val charged = charged(
+                now,
+                snapshot,
+                request,
+                settings,
+                "adapter ${found.version.adapter}",
+            )
+        ) {
             is Charged.To -> charged.account
             is Charged.Bad -> return Resolved.Bad(charged.refusal)
         }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/CallerService.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/CallerService.kt
@@ -70,7 +70,9 @@
         }
         val idempotencyKey = request.headers().get(IDEMPOTENCY_HEADER)
         if (idempotencyKey != null && idempotencyKey.length !in 1..MAX_IDEMPOTENCY_KEY) {
-            return bad("$IDEMPOTENCY_HEADER: expected 1 to $MAX_IDEMPOTENCY_KEY characters, but was ${idempotencyKey.length}")
+            return bad(
+                "$IDEMPOTENCY_HEADER: expected 1 to $MAX_IDEMPOTENCY_KEY characters, but was ${idempotencyKey.length}",
+            )
         }
         val id = ids.incrementAndGet()
         val call = CallerRequest(
--- /dev/null
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/CallersPlugin.kt
@@ -0,0 +1,106 @@
+package io.camphordrum.daemon
+
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.server.Server
+import io.camphordrum.core.CallerRequest
+import io.camphordrum.core.CoreEffect
+import io.camphordrum.core.DispatchOrder
+import io.camphordrum.core.config.KeyHasher
+import io.camphordrum.core.config.Snapshot
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+
+/** Serves callers and sends their requests to endpoints. */
+class CallersPlugin : Plugin {
+    override val name = "callers"
+    override val order = 90
+    private val exchanges = ConcurrentHashMap<Long, Exchange>()
+    private lateinit var kernel: Kernel
+    private lateinit var factory: ClientFactory
+    private lateinit var client: EndpointClient
+    private lateinit var server: Server
+
+    override fun start(kernel: Kernel) {
+        this.kernel = kernel
+        factory = ClientFactory.builder().connectTimeoutMillis(CONNECT_MILLIS).build()
+        client = EndpointClient(factory)
+        kernel.ports.caller = ::run
+        val settings = kernel.settings
+        val hasher = KeyHasher(settings.keySecret)
+        val callers = CallerService(kernel.clock, { hasher.hash(it).hex }, ::arrive, ::gone)
+        server = Server.builder()
+            .http(InetSocketAddress(settings.callers.host, settings.callers.port))
+            .maxRequestLength(settings.maxBodyBytes)
+            .requestTimeoutMillis(0)
+            .service("/v1/models") { _, _ -> HttpResponse.of(kernel.ask { core, _ -> models(core.configuration) }) }
+            .serviceUnder("/", callers)
+            .gracefulShutdownTimeoutMillis(0, settings.shutdownSeconds * 1_000)
+            .build()
+        server.start().join()
+    }
+
+    override fun stop() {
+        server.stop().join()
+        factory.close()
+    }
+
+    private fun models(snapshot: Snapshot?): HttpResponse {
+        val body = buildJsonObject {
+            put("object", "list")
+            putJsonArray("data") {
+                var count = 0
+                snapshot?.forEachAdapter { version, base ->
+                    if (count++ < MAX_MODELS) {
+                        addJsonObject {
+                            put("id", version.toString())
+                            put("object", "model")
+                            put("owned_by", base.name)
+                        }
+                    }
+                }
+            }
+        }
+        return HttpResponse.of(HttpStatus.OK, MediaType.JSON_UTF_8, body.toString())
+    }
+
+    private fun arrive(request: CallerRequest, exchange: Exchange): Boolean {
+        exchanges[request.id] = exchange
+        val taken = kernel.decide { core, now -> core.arrive(now, request) }
+        if (!taken) exchanges.remove(request.id)
+        return taken
+    }
+
+    private fun gone(exchange: Exchange) {
+        kernel.decide { core, now -> core.cancelled(now, exchange.id) }
+    }
+
+    private fun run(effect: CoreEffect.Caller) {
+        when (effect) {
+            is CoreEffect.Dispatch -> exchanges[effect.request]?.let { dispatch(effect.order, it) }
+            is CoreEffect.CancelDispatch -> exchanges[effect.request]?.cancelDispatch?.invoke()
+            is CoreEffect.Refuse -> exchanges.remove(effect.request)?.refuse(effect.refusal)
+            is CoreEffect.Answer -> exchanges.remove(effect.request)?.complete(effect.answer)
+            is CoreEffect.Close -> exchanges.remove(effect.request)
+        }
+    }
+
+    private fun dispatch(order: DispatchOrder, exchange: Exchange) {
+        client.dispatch(order, exchange) { end ->
+            kernel.decideSurely { core, now -> core.ended(now, order.request, order.dispatch, end) }
+        }
+    }
+
+    private companion object {
+        const val CONNECT_MILLIS = 1_000L
+
+        // A page of models; with tens of thousands of adapters the list is for orientation only.
+        const val MAX_MODELS = 1_000
+    }
+}
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/DecisionThread.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/DutyThread.kt
@@ -8,19 +8,24 @@
 private val log = KotlinLogging.logger {}
 
 /**
- * Runs every decision on one named thread, fed by a bounded ring.
+ * Runs one duty of the daemon on a named thread, fed by a bounded ring.
  *
  * ```kotlin
- * if (!decisions.offer { core.cancel(now, id) }) refuse()
+ * if (!decisions.offer { core.cancelled(now, id) }) refuse()
  * ```
  *
  * @param slots capacity of the ring; a power of two.
  * @param tickNanos interval between two calls of [tick], in nanoseconds.
  */
-class DecisionThread(slots: Int, private val tickNanos: Long, private val tick: () -> Unit) {
+class DutyThread(
+    private val name: String,
+    slots: Int,
+    private val tickNanos: Long = IDLE_TICK_NANOS,
+    private val tick: () -> Unit = {},
+) {
     private val ring = MpscArrayQueue<() -> Unit>(slots)
     private val parked = AtomicBoolean()
-    private val thread = Thread(::run, "decisions").apply { isDaemon = true }
+    private val thread = Thread(::run, name).apply { isDaemon = true }
 
     @Volatile
     private var running = true
@@ -31,14 +36,18 @@
     /** Starts the thread. */
     fun start() = thread.start()
 
-    /** Hands over [input]; returns false when the ring is full, and then [input] never runs. */
+    /** Hands over [input]; returns false when the ring is full or the thread has stopped, and then it never runs. */
     fun offer(input: () -> Unit): Boolean {
-        if (!ring.offer(input)) return false
+        if (!running || !ring.offer(input)) return false
         if (parked.get()) LockSupport.unpark(thread)
         return true
     }
 
-    /** Hands over [input] and waits for a free slot; for inputs that must not be lost, off the event loops only. */
+    /**
+     * Hands over [input] and waits for a free slot.
+     *
+     * For inputs that must not be lost, such as the end of a dispatch. The duty thread itself must not call it.
+     */
     fun put(input: () -> Unit) {
         while (running && !offer(input)) LockSupport.parkNanos(FULL_PAUSE_NANOS)
     }
@@ -69,16 +78,17 @@
         parked.set(false)
     }
 
-    // A fault in one decision must not end the thread that every request depends on.
+    // A fault in one step must not end the thread that everything else depends on.
     private fun guarded(step: () -> Unit) {
         try {
             step()
         } catch (e: Exception) {
-            log.error(e) { "decision_failed" }
+            log.error(e) { "duty_failed $name" }
         }
     }
 
     private companion object {
+        const val IDLE_TICK_NANOS = 1_000_000_000L
         const val FULL_PAUSE_NANOS = 100_000L
         const val STOP_MILLIS = 2_000L
     }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
@@ -14,7 +14,7 @@
 import io.camphordrum.core.AdapterVersion
 import io.camphordrum.core.DispatchEnd
 import io.camphordrum.core.DispatchOrder
-import io.camphordrum.core.RecordedAnswer
+import io.camphordrum.core.once.RecordedAnswer
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.buildJsonObject
@@ -106,11 +106,10 @@
     private fun wholeEnd(order: DispatchOrder, answer: AggregatedHttpResponse, nanos: Long): DispatchEnd {
         val fault = headerFault(order, answer.headers())
         if (fault != null) return fault
-        val body = answer.contentUtf8()
         val type = answer.contentType()?.toString() ?: MediaType.OCTET_STREAM.toString()
-        val recorded = RecordedAnswer(answer.status().code(), type, body)
+        val recorded = RecordedAnswer.of(answer.status().code(), type, answer.content().array())
         if (order.version == null) return DispatchEnd.Completed(0, recorded, nanos)
-        val json = parseObject(body)
+        val json = parseObject(answer.contentUtf8())
             ?: return DispatchEnd.Failed("expected a JSON object from ${order.endpoint}, but the body is not", 0, false)
         return DispatchEnd.Completed(Usage.of(json)?.totalTokens ?: DispatchEnd.UNKNOWN_USAGE, recorded, nanos)
     }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Exchange.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Exchange.kt
@@ -10,8 +10,8 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import io.camphordrum.core.DispatchOrder
 import io.camphordrum.core.Ran
-import io.camphordrum.core.RecordedAnswer
 import io.camphordrum.core.Refusal
+import io.camphordrum.core.once.RecordedAnswer
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -24,11 +24,7 @@
  * @property toEndpoint builds the request that an endpoint receives; it never contains the caller's key.
  * @property streaming whether the caller asked for server-sent events.
  */
-class Exchange(
-    val id: Long,
-    val streaming: Boolean,
-    val toEndpoint: (DispatchOrder) -> HttpRequest,
-) {
+class Exchange(val id: Long, val streaming: Boolean, val toEndpoint: (DispatchOrder) -> HttpRequest) {
     private val answer = CompletableFuture<HttpResponse>()
     private var writer: HttpResponseWriter? = null
 
@@ -62,7 +58,7 @@
     @Synchronized
     fun complete(recorded: RecordedAnswer) {
         val type = MediaType.parse(recorded.contentType)
-        answer.complete(HttpResponse.of(HttpStatus.valueOf(recorded.status), type, HttpData.ofUtf8(recorded.body)))
+        answer.complete(HttpResponse.of(HttpStatus.valueOf(recorded.status), type, HttpData.wrap(recorded.body())))
     }
 
     /** Begins a stream of server-sent events. */
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/HttpObjectStore.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/HttpObjectStore.kt
@@ -11,7 +11,6 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
@@ -83,9 +82,11 @@
         if (answer == null) return WatchOutcome.Unavailable(reason(error))
         if (!answer.status().isSuccess) return WatchOutcome.Unavailable("status ${answer.status()}")
         return decoded(answer, { WatchOutcome.Unavailable(it) }) { text ->
-            val json = Json.parseToJsonElement(text).jsonObject
-            val objects = json["objects"]?.jsonArray.orEmpty().map { it.jsonObject }
-            WatchOutcome.Changed(json.getValue("version").jsonPrimitive.long, objects.map(::nameOf))
+            WatchOutcome.Changed(
+                Json.parseToJsonElement(text).jsonArray.map { it.jsonObject }.associate { entry ->
+                    entry.getValue("name").jsonPrimitive.content to entry.getValue("version").jsonPrimitive.long
+                },
+            )
         }
     }
 
@@ -97,8 +98,6 @@
         }
     }
 
-    private fun nameOf(entry: JsonObject): String = entry.getValue("name").jsonPrimitive.content
-
     private fun <T> decoded(answer: AggregatedHttpResponse, bad: (String) -> T, decode: (String) -> T): T = try {
         decode(answer.contentUtf8())
     } catch (e: SerializationException) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/ObjectStore.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/ObjectStore.kt
@@ -49,8 +49,8 @@
 
 /** Tells how a watch ended. */
 sealed interface WatchOutcome {
-    /** The newest version below the prefix, and the names that changed. */
-    data class Changed(val version: Long, val names: List<String>) : WatchOutcome
+    /** The names and versions of the objects that changed; empty when the time ran out. */
+    data class Changed(val versions: Map<String, Long>) : WatchOutcome
 
     /** The platform gave no usable answer. */
     data class Unavailable(val reason: String) : WatchOutcome
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/StreamRelay.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/StreamRelay.kt
@@ -13,11 +13,8 @@
  * The stream is complete only when the event `[DONE]` has come. Events are relayed whole, so that an error event can
  * follow at any point. The caller's connection sets the pace.
  */
-internal class StreamRelay(
-    private val exchange: Exchange,
-    private val once: OneEnd,
-    private val startNanos: Long,
-) : Subscriber<HttpData> {
+internal class StreamRelay(private val exchange: Exchange, private val once: OneEnd, private val startNanos: Long) :
+    Subscriber<HttpData> {
     private lateinit var subscription: Subscription
     private val pending = ByteArrayOutputStream()
     private var writer: HttpResponseWriter? = null
