--- a/core/src/main/kotlin/io/camphordrum/core/limits/ShareMessage.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/ShareMessage.kt
@@ -67,6 +67,7 @@
     /**
      * Ends the settlement of a generation and shares the coordinator's knowledge of floors.
      *
+     * @property floorTotalParts the most parts that all floors of the data centre together may use.
      * @property memberFloors upper bound of each present member's floor.
      * @property floors floors of former members that may still be in use.
      */
@@ -74,7 +75,8 @@
     @SerialName("settled")
     public data class Settled(
         override val generation: Long,
-        val memberFloors: Map<String, Int>,
+        val floorTotalParts: Int,
+        val memberFloors: List<MemberFloor>,
         val floors: List<ReservedFloor>,
     ) : ShareMessage
 
@@ -98,6 +100,10 @@
 @Serializable
 public data class ShareAmount(public val account: AccountId, public val parts: Int, public val levelNanoTokens: Long)
 
+/** Bounds the floor of a present member. */
+@Serializable
+public data class MemberFloor(public val member: Member, public val parts: Int)
+
 /**
  * Describes the floor of a former member that may still use it.
  *
--- a/core/src/main/kotlin/io/camphordrum/core/limits/ShareParameters.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/ShareParameters.kt
@@ -21,4 +21,11 @@
     public val demandPeriodNanos: Long = 1_000_000_000L,
     public val storePeriodNanos: Long = 2_000_000_000L,
     public val maxAccounts: Int = 4_096,
-)
+) {
+    /** Returns the most parts that all floors of a data centre with [defaultParts] may use together. */
+    internal fun floorTotal(defaultParts: Int): Int = (defaultParts.toLong() * floorPerMille / PER_MILLE).toInt()
+
+    internal companion object {
+        const val PER_MILLE: Int = 1_000
+    }
+}
