--- a/core/src/main/kotlin/io/camphordrum/core/Rendezvous.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/Rendezvous.kt
@@ -21,14 +21,14 @@
     }
 
     // FNV-1a; the decision core has no library dependencies.
-    private fun hash(text: String): Long {
+    internal fun hash(text: String): Long {
         var h = FNV_OFFSET
         for (c in text) h = (h xor c.code.toLong()) * FNV_PRIME
         return h
     }
 
     // Finaliser of SplitMix64, which spreads neighbouring inputs over all bits.
-    private fun mix(a: Long, b: Long): Long {
+    internal fun mix(a: Long, b: Long): Long {
         var z = a * GOLDEN_GAMMA + b
         z = (z xor (z ushr 30)) * -0x40a7b892e31b1a47L
         z = (z xor (z ushr 27)) * -0x6b2fb644ecceee15L
