Wait for a new owner inside the queue time and ask seeds for the configuration

Cause: a request whose candidates all had no owner was refused at once, although owners change within seconds after an instance fails. A daemon without a configuration asks the peers named in its settings.

--- a/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
@@ -66,6 +66,7 @@
     private var shares: ShareHolder? = null
     private var flow: RequestFlow? = null
     private var snapshot: Snapshot? = null
+    private var nextSeed = 0L
     private var leaving = false
 
     /** Requests that have no final answer yet. */
@@ -236,6 +237,7 @@
         claims(now, claims.tick(now))
         config(now, store.tick(now))
         spread(now, spread.tick(now))
+        if (snapshot == null && now - nextSeed >= 0) askSeeds(now)
         if (leaving) leaveWhenReleased(now)
     }
 
@@ -255,6 +257,12 @@
         parts = snapshot?.limits()?.keys.orEmpty().associate { it.name to (shares?.parts(it) ?: 0) },
     )
 
+    // The platform may be out when this process starts; any peer that answers has the configuration.
+    private fun askSeeds(now: Long) {
+        nextSeed = now + options.seedNanos
+        for (seed in options.seeds) out += CoreEffect.SendConfig(seed, ConfigMessage.Fetch(0))
+    }
+
     private fun leaveWhenReleased(now: Long) {
         val released = shares?.released ?: true
         if (released && table.owned.all { it.idle }) members(now, membership.leave(now))
--- a/core/src/main/kotlin/io/camphordrum/core/request/Pending.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/Pending.kt
@@ -45,6 +45,12 @@
 
     /** True in the second round over the candidates, in which a longer wait is accepted. */
     var patient = false
+
+    /** When to stop looking for a ticket. */
+    var queueUntilNanos = 0L
+
+    /** True when a denial of this round may be lifted soon, by a new owner or a new configuration. */
+    var mayRecover = false
     var asked: EndpointId? = null
 
     /** Unique per ask, so that a late answer to an earlier ask is recognised. */
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/request/Refusals.kt
@@ -0,0 +1,31 @@
+package io.camphordrum.core.request
+
+import io.camphordrum.core.Refusal
+import io.camphordrum.core.RefusalCode
+import io.camphordrum.core.limits.Admission
+
+internal fun unavailable(message: String) =
+    Refusal(RefusalCode.UNAVAILABLE, message, retryAfterMillis = DEFAULT_RETRY_MILLIS)
+
+internal fun unavailable(p: Pending) =
+    Refusal(RefusalCode.UNAVAILABLE, p.denied.message, retryAfterMillis = retryMillis(p.denied.retryAfterNanos))
+
+internal fun overLimit(target: Target, retryAfterNanos: Long): Refusal {
+    val account = target.account
+    if (retryAfterNanos == Admission.NEVER) {
+        val message = "expected a charge within the burst of client account $account, but was ${target.charge} tokens"
+        return Refusal(RefusalCode.TOO_LARGE, message)
+    }
+    val message = "client account $account is over its rate"
+    return Refusal(RefusalCode.OVER_LIMIT, message, retryAfterMillis = retryMillis(retryAfterNanos))
+}
+
+internal fun beforeDeadline(p: Pending, retryAfterNanos: Long): Refusal {
+    val message = "the request cannot finish before its deadline: ${p.denied.message}"
+    return Refusal(RefusalCode.DEADLINE, message, retryAfterMillis = retryMillis(retryAfterNanos))
+}
+
+private fun retryMillis(nanos: Long): Long = maxOf(SHORTEST_RETRY_MILLIS, (nanos + 999_999) / 1_000_000)
+
+private const val DEFAULT_RETRY_MILLIS = 1_000L
+private const val SHORTEST_RETRY_MILLIS = 50L
--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
@@ -62,10 +62,9 @@
         budget.arrived()
         val config = snapshot()
         val early = when {
-            config == null -> Refusal(RefusalCode.UNAVAILABLE, "no configuration yet", retryAfterMillis = RETRY_MILLIS)
-            draining -> Refusal(RefusalCode.UNAVAILABLE, "the instance is stopping", retryAfterMillis = RETRY_MILLIS)
-            pending.size >= settings.maxRequests ->
-                Refusal(RefusalCode.UNAVAILABLE, "too many requests in progress", retryAfterMillis = RETRY_MILLIS)
+            config == null -> unavailable("no configuration yet")
+            draining -> unavailable("the instance is stopping")
+            pending.size >= settings.maxRequests -> unavailable("too many requests in progress")
             else -> null
         }
         if (early != null || config == null) {
@@ -133,8 +132,9 @@
         router.answered(now, endpoint, denial.waitNanos)
         if (p.step != Step.TICKET) return@collect
         p.denied = Denial("$endpoint: ${denial.reason.name.lowercase()}", denial.retryAfterNanos)
+        if (denial.reason in RECOVERABLE) p.mayRecover = true
         if (denial.reason == DenyReason.DEADLINE && p.candidate + 1 >= p.candidates.size) {
-            refuse(now, p, deadline(p, denial.retryAfterNanos))
+            refuse(now, p, beforeDeadline(p, denial.retryAfterNanos))
         } else {
             nextCandidate(now, p)
         }
@@ -156,11 +156,14 @@
         }
     }
 
-    /** Asks again where an owner may have changed or vanished; [changed] tells which endpoints that concerns. */
+    /** Moves on where an owner has changed or vanished; [changed] tells which endpoints that concerns. */
     public fun ownersChanged(now: Long, changed: (EndpointId) -> Boolean): List<RequestEffect> = collect {
         for (p in pending.values.toList()) {
             val asked = p.asked ?: continue
-            if (p.step == Step.TICKET && changed(asked)) ask(now, p, asked)
+            if (p.step == Step.TICKET && changed(asked)) {
+                p.mayRecover = true
+                nextCandidate(now, p)
+            }
         }
     }
 
@@ -210,31 +213,18 @@
         when (val admission = shares.admit(now, target.account, target.charge)) {
             Admission.Granted -> {
                 p.chargedAtNanos = now
+                p.queueUntilNanos = minOf(p.deadlineNanos, now + target.settings.queueMillis * MILLI)
                 findTicket(now, p)
             }
             is Admission.Wait -> {
                 if (now - p.limitUntilNanos < 0) {
                     wakeAt(p, minOf(admission.untilNanos, p.limitUntilNanos))
                 } else {
-                    refuse(now, p, overLimit(p, admission.untilNanos - now))
+                    refuse(now, p, overLimit(p.target, admission.untilNanos - now))
                 }
             }
-            is Admission.Refused -> refuse(now, p, overLimit(p, admission.retryAfterNanos))
-        }
-    }
-
-    private fun overLimit(p: Pending, retryAfterNanos: Long): Refusal {
-        val account = p.target.account
-        if (retryAfterNanos != Admission.NEVER) {
-            val millis = millis(retryAfterNanos)
-            return Refusal(
-                RefusalCode.OVER_LIMIT,
-                "client account $account is over its rate",
-                retryAfterMillis = millis,
-            )
+            is Admission.Refused -> refuse(now, p, overLimit(p.target, admission.retryAfterNanos))
         }
-        val message = "expected a charge within the burst of client account $account, but was ${p.target.charge} tokens"
-        return Refusal(RefusalCode.TOO_LARGE, message)
     }
 
     private fun findTicket(now: Long, p: Pending) {
@@ -242,12 +232,9 @@
         p.candidates = candidates(now, p)
         p.candidate = 0
         p.patient = false
+        p.mayRecover = p.candidates.isEmpty()
         val first = p.candidates.firstOrNull()
-        if (first == null) {
-            refuse(now, p, Refusal(RefusalCode.UNAVAILABLE, p.denied.message, retryAfterMillis = RETRY_MILLIS))
-        } else {
-            ask(now, p, first)
-        }
+        if (first == null) giveUpOrWait(now, p) else ask(now, p, first)
     }
 
     private fun candidates(now: Long, p: Pending): List<EndpointId> {
@@ -303,9 +290,15 @@
             p.candidates = candidates(now, p)
         }
         val next = p.candidates.getOrNull(p.candidate)
-        if (next != null) return ask(now, p, next)
-        val retry = maxOf(millis(p.denied.retryAfterNanos), SHORTEST_RETRY_MILLIS)
-        refuse(now, p, Refusal(RefusalCode.UNAVAILABLE, p.denied.message, retryAfterMillis = retry))
+        if (next != null) ask(now, p, next) else giveUpOrWait(now, p)
+    }
+
+    // Owners change within seconds after a failure; a request inside its queue time waits for that and starts over.
+    private fun giveUpOrWait(now: Long, p: Pending) {
+        if (!p.mayRecover || now - p.queueUntilNanos >= 0) return refuse(now, p, unavailable(p))
+        closeAsk(p)
+        p.asked = null
+        wakeAt(p, now + settings.searchAgainNanos)
     }
 
     private fun dispatch(
@@ -353,9 +346,9 @@
         p.dispatch = null
         p.step = Step.TICKET
         p.claimed = p.idempotencyKey != null
-        p.denied = Denial(end.reason, RETRY_MILLIS * MILLI)
-        if (p.dispatches < settings.maxDispatches) return nextCandidate(now, p)
-        refuse(now, p, Refusal(RefusalCode.UNAVAILABLE, end.reason, retryAfterMillis = RETRY_MILLIS))
+        p.denied = Denial(end.reason, settings.searchAgainNanos)
+        p.mayRecover = true
+        if (p.dispatches < settings.maxDispatches) nextCandidate(now, p) else refuse(now, p, unavailable(p))
     }
 
     private fun failed(now: Long, p: Pending, end: DispatchEnd.Failed) {
@@ -377,7 +370,8 @@
             Step.LIMIT -> tryCharge(now, p)
             Step.TICKET -> {
                 // The ask or its answer may have been lost; the owner answers a repeated ask in the same way.
-                p.asked?.let { sendAsk(p, it) }
+                val asked = p.asked ?: return findTicket(now, p)
+                sendAsk(p, asked)
                 wakeAt(p, now + settings.askRepeatNanos)
             }
             Step.RUN -> expire(now, p)
@@ -386,7 +380,7 @@
     }
 
     private fun expire(now: Long, p: Pending) {
-        if (p.step != Step.RUN) return refuse(now, p, deadline(p, 0))
+        if (p.step != Step.RUN) return refuse(now, p, beforeDeadline(p, 0))
         out += RequestEffect.CancelDispatch(p.id)
         finishTicket(p, TicketReport(TicketOutcome.UNKNOWN))
         settle(now, p, DispatchEnd.UNKNOWN_USAGE)
@@ -395,12 +389,6 @@
         remove(p)
     }
 
-    private fun deadline(p: Pending, retryAfterNanos: Long): Refusal {
-        val millis = maxOf(millis(retryAfterNanos), SHORTEST_RETRY_MILLIS)
-        val message = "the request cannot finish before its deadline: ${p.denied.message}"
-        return Refusal(RefusalCode.DEADLINE, message, retryAfterMillis = millis)
-    }
-
     private fun withdrawn(p: Pending): Boolean {
         val hash = p.request.keyHash ?: return false
         return snapshot()?.account(KeyHash(hash)) == null
@@ -461,9 +449,8 @@
 
     private companion object {
         const val MILLI = 1_000_000L
-        const val RETRY_MILLIS = 1_000L
-        const val SHORTEST_RETRY_MILLIS = 50L
 
-        fun millis(nanos: Long): Long = (nanos + MILLI - 1) / MILLI
+        // Denials that the next change of owner or of the configuration can lift.
+        val RECOVERABLE = setOf(DenyReason.NO_LEASE, DenyReason.LEAVING)
     }
 }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
@@ -41,14 +41,13 @@
 
     /** Runs [order] for [exchange] and reports its end exactly once through [onEnd]. */
     fun dispatch(order: DispatchOrder, exchange: Exchange, onEnd: (DispatchEnd) -> Unit) {
-        val once = OneEnd(onEnd)
-        val startNanos = System.nanoTime()
+        val run = Run(order, exchange, OneEnd(onEnd), System.nanoTime())
         val request = exchange.toEndpoint(order)
         val response = client(order.address).execute(withDispatchHeaders(request, order))
         if (exchange.streaming) {
-            relayStream(order, response, exchange, once, startNanos)
+            relayStream(run, response)
         } else {
-            relayWhole(order, response, exchange, once, startNanos)
+            relayWhole(run, response)
         }
     }
 
@@ -91,14 +90,14 @@
         return request.withHeaders(headers)
     }
 
-    private fun relayWhole(order: DispatchOrder, response: HttpResponse, exchange: Exchange, once: OneEnd, startNanos: Long) {
+    private fun relayWhole(run: Run, response: HttpResponse) {
         val future = response.aggregate()
-        exchange.cancelDispatch = { future.cancel(true) }
+        run.exchange.cancelDispatch = { future.cancel(true) }
         future.handle { answer, error ->
             when {
-                answer != null -> once.end(wholeEnd(order, answer, System.nanoTime() - startNanos))
-                exchange.callerGone -> once.end(DispatchEnd.Cancelled(0))
-                else -> once.end(failure(error, 0, reachedCaller = false))
+                answer != null -> run.once.end(wholeEnd(run.order, answer, System.nanoTime() - run.startNanos))
+                run.exchange.callerGone -> run.once.end(DispatchEnd.Cancelled(0))
+                else -> run.once.end(failure(error, 0, reachedCaller = false))
             }
         }
     }
@@ -114,16 +113,16 @@
         return DispatchEnd.Completed(Usage.of(json)?.totalTokens ?: DispatchEnd.UNKNOWN_USAGE, recorded, nanos)
     }
 
-    private fun relayStream(order: DispatchOrder, response: HttpResponse, exchange: Exchange, once: OneEnd, startNanos: Long) {
+    private fun relayStream(run: Run, response: HttpResponse) {
         val split = response.split()
-        exchange.cancelDispatch = { split.body().abort() }
+        run.exchange.cancelDispatch = { split.body().abort() }
         split.headers().handle { headers, error ->
-            val fault = if (headers == null) failure(error, 0, false) else headerFault(order, headers)
+            val fault = if (headers == null) failure(error, 0, false) else headerFault(run.order, headers)
             if (fault != null) {
                 split.body().abort()
-                once.end(if (exchange.callerGone) DispatchEnd.Cancelled(0) else fault)
+                run.once.end(if (run.exchange.callerGone) DispatchEnd.Cancelled(0) else fault)
             } else {
-                split.body().subscribe(StreamRelay(exchange, once, startNanos))
+                split.body().subscribe(StreamRelay(run.exchange, run.once, run.startNanos))
             }
         }
     }
@@ -143,6 +142,8 @@
         return DispatchEnd.Failed("expected adapter $version $where, but came $served", 0, false)
     }
 
+    private class Run(val order: DispatchOrder, val exchange: Exchange, val once: OneEnd, val startNanos: Long)
+
     private companion object {
         const val LONGEST_ANSWER_SECONDS = 600L
         const val MAX_ANSWER_BYTES = 16L shl 20
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Kernel.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Kernel.kt
@@ -41,6 +41,7 @@
             dataCentre = dataCentre,
             region = settings.region,
             peerAddress = "${settings.peers.host}:${settings.peers.port}",
+            seeds = settings.seeds,
             seed = self.incarnation xor settings.instance.hashCode().toLong(),
             loadReportNanos = TimeUnit.MILLISECONDS.toNanos(settings.loadReportMillis),
         ),
