Add the durable form, the store and the spread of the configuration

Cause: the signatures had no bodies. Adds content-addressed chunks under one root object, the chain of change records with the edits that lead back, the state machine that submits and loads, and the one that spreads revisions between daemons.

Seen while testing: a change on a newer base than the daemon has was refused instead of read first; a copy from a peer failed when the tree moved while chunks were fetched. Both are corrected, and a property found the second.

--- a/core/src/main/kotlin/io/camphordrum/core/config/Change.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/Change.kt
@@ -22,6 +22,14 @@
     public val edits: List<Edit>,
 )
 
-/** Records an accepted [change] as [revision]. */
+/**
+ * Records an accepted [change] as [revision].
+ *
+ * @property undo the edits that lead back to the revision before; empty in records that peers exchange.
+ */
 @Serializable
-public data class ChangeRecord(public val revision: Long, public val change: Change)
+public data class ChangeRecord(
+    public val revision: Long,
+    public val change: Change,
+    public val undo: List<Edit> = emptyList(),
+)
--- a/core/src/main/kotlin/io/camphordrum/core/config/ConfigMessage.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/ConfigMessage.kt
@@ -11,15 +11,15 @@
     @SerialName("notice")
     public data class Notice(public val revision: Long) : ConfigMessage
 
-    /** Asks for the changes after [revision]. */
+    /** Asks for the changes after [revision]; -1 asks for an [Index]. */
     @Serializable
     @SerialName("fetch")
     public data class Fetch(public val revision: Long) : ConfigMessage
 
-    /** Carries consecutive changes; the first makes revision [base] + 1. */
+    /** Carries consecutive changes; the sender has revision [latest], which may be more than fits in one message. */
     @Serializable
     @SerialName("changes")
-    public data class Changes(public val base: Long, public val records: List<ChangeRecord>) : ConfigMessage
+    public data class Changes(public val latest: Long, public val records: List<ChangeRecord>) : ConfigMessage
 
     /** Names the chunks of a revision, when the sender no longer has the changes that were asked for. */
     @Serializable
--- a/core/src/main/kotlin/io/camphordrum/core/config/PagedMap.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/PagedMap.kt
@@ -3,11 +3,11 @@
 /**
  * Holds a run of neighbouring entries; [keys] are sorted and never empty.
  *
- * @property chunk the address of the encoded page, filled in when it is first encoded.
+ * @property chunk the address of the encoded page, filled in when it is first computed.
  */
 internal class Page<V : Any>(val keys: Array<String>, val values: Array<Any>) {
     @Volatile
-    var chunk: EncodedChunk? = null
+    var chunk: String? = null
 
     @Suppress("UNCHECKED_CAST")
     fun value(index: Int): V = values[index] as V
--- a/core/src/main/kotlin/io/camphordrum/core/config/RootObject.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/RootObject.kt
@@ -27,12 +27,14 @@
  * Keeps the record of one change; the objects form a chain from the newest change to the first.
  *
  * @property edits addresses of [EditsObject]s when the record's edits are stored apart, in order.
+ * @property undo the same for the edits that lead back.
  * @property previous address of the record before this one, or null for the first.
  */
 @Serializable
 public data class HistoryObject(
     public val record: ChangeRecord,
     public val edits: List<String> = emptyList(),
+    public val undo: List<String> = emptyList(),
     public val previous: String? = null,
 )
 
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/config/Submission.kt
@@ -0,0 +1,201 @@
+package io.camphordrum.core.config
+
+import kotlinx.serialization.SerializationStrategy
+import kotlinx.serialization.StringFormat
+
+/** Carries one change from its check to its outcome; [done] gets the outcome once. */
+internal class Submission(
+    private val change: Change,
+    private val deadline: Long,
+    private val context: SubmissionContext,
+    private val done: (Long, SubmitOutcome) -> Unit,
+) {
+    private val state = context.state
+    private val options = context.options
+    private val format = context.format
+    private val chunks = TreeChunks(format)
+    private var finished = false
+    private var failures = 0
+
+    // Set while an update of the root may take effect, or may have done so, without this side knowing.
+    private var uncertain = false
+
+    fun start(now: Long) {
+        val known = state.settled && change.base <= state.tree.revision
+        if (known) decide(now) else loadThen(now, ::decide)
+    }
+
+    /** Ends the submission when its time is over. */
+    fun tick(now: Long) {
+        if (now >= deadline) giveUp(now)
+    }
+
+    private fun giveUp(now: Long) =
+        finish(now, if (uncertain) SubmitOutcome.Unknown else SubmitOutcome.Unavailable(options.retryNanos))
+
+    private fun finish(now: Long, outcome: SubmitOutcome) {
+        if (finished) return
+        finished = true
+        done(now, outcome)
+    }
+
+    private fun loadThen(now: Long, then: (Long) -> Unit) {
+        context.loader.load(now) { loadedAt, success ->
+            when {
+                finished -> Unit
+                success && state.settled -> then(loadedAt)
+                else -> retry(loadedAt) { loadThen(it, then) }
+            }
+        }
+    }
+
+    private fun retry(now: Long, action: (Long) -> Unit) {
+        failures++
+        context.calls.later(now, failures) { if (!finished) action(it) }
+    }
+
+    private fun decide(now: Long) {
+        val accepted = state.root?.recent?.firstOrNull { it.id == change.id }
+        if (accepted != null) return finish(now, SubmitOutcome.Accepted(accepted.revision))
+        val tree = state.tree
+        when (val result = tree.apply(change)) {
+            is ApplyResult.Invalid -> finish(now, SubmitOutcome.Invalid(result.errors))
+            is ApplyResult.Stale -> stale(now)
+            is ApplyResult.Applied -> writeObjects(tree, result.tree)
+        }
+    }
+
+    private fun stale(now: Long) {
+        val root = state.root
+        when {
+            root != null && change.base < root.revision -> finish(now, lost(root))
+            else -> {
+                val error = TreeError("change/base", "at most revision ${state.tree.revision}", "${change.base}")
+                finish(now, SubmitOutcome.Invalid(listOf(error)))
+            }
+        }
+    }
+
+    // The revision after the base belongs to another change, unless the root no longer tells to which one.
+    private fun lost(root: RootObject): SubmitOutcome {
+        val told = root.recent.any { it.revision == change.base + 1 }
+        return if (told || !uncertain) SubmitOutcome.Conflict(root.record) else SubmitOutcome.Unknown
+    }
+
+    private fun writeObjects(before: Tree, after: Tree) {
+        val record = ChangeRecord(after.revision, change, after.diff(before))
+        val objects = LinkedHashMap(chunks.encode(after, chunks.addresses(before).toSet()))
+        val inline = recordWeight(record) <= options.inlineBytes
+        val bare = if (inline) record else ChangeRecord(record.revision, change.copy(edits = emptyList()))
+        val history = HistoryObject(
+            record = bare,
+            edits = if (inline) emptyList() else store(change.edits, objects),
+            undo = if (inline) emptyList() else store(record.undo, objects),
+            previous = state.root?.history,
+        )
+        val root = RootObject(
+            revision = after.revision,
+            chunks = chunks.addresses(after),
+            record = bare,
+            history = store(HistoryObject.serializer(), history, objects),
+            recent = (state.root?.recent.orEmpty() + RecentChange(change.id, after.revision))
+                .takeLast(options.recentChanges),
+        )
+        val update = RootUpdate(root, after, record, checkNotNull(state.rootVersion))
+        var left = objects.size
+        for ((address, text) in objects) {
+            writeObject(address, text) { writtenAt -> if (--left == 0) writeRoot(writtenAt, update) }
+        }
+    }
+
+    private fun <T> store(type: SerializationStrategy<T>, value: T, objects: MutableMap<String, String>): String {
+        val text = format.encodeToString(type, value)
+        return TreeChunks.addressOf(text).also { objects[it] = text }
+    }
+
+    private fun store(edits: List<Edit>, objects: MutableMap<String, String>): List<String> {
+        val parts = ArrayList<List<Edit>>()
+        var part = ArrayList<Edit>()
+        var bytes = 0
+        for (edit in edits) {
+            if (bytes + editWeight(edit) > EDITS_BYTES && part.isNotEmpty()) {
+                parts += part
+                part = ArrayList()
+                bytes = 0
+            }
+            part += edit
+            bytes += editWeight(edit)
+        }
+        if (part.isNotEmpty()) parts += part
+        return parts.map { store(EditsObject.serializer(), EditsObject(it), objects) }
+    }
+
+    // An object that exists already has this content, because its name is the hash of it.
+    private fun writeObject(address: String, text: String, then: (Long) -> Unit) {
+        if (finished) return
+        context.calls.write(options.prefix + address, text, 0) { writtenAt, outcome ->
+            when {
+                finished -> Unit
+                outcome is WriteOutcome.Applied || outcome == WriteOutcome.Conflict -> then(writtenAt)
+                else -> retry(writtenAt) { writeObject(address, text, then) }
+            }
+        }
+    }
+
+    private class RootUpdate(val root: RootObject, val tree: Tree, val record: ChangeRecord, val ifVersion: Long)
+
+    private fun writeRoot(now: Long, update: RootUpdate) {
+        val earlier = uncertain
+        uncertain = true
+        val text = format.encodeToString(RootObject.serializer(), update.root)
+        context.calls.write(options.rootName, text, update.ifVersion) { writtenAt, outcome ->
+            when {
+                // The operator has been told "unknown"; a read shows what became of the change.
+                finished -> context.loader.load(writtenAt)
+                outcome is WriteOutcome.Applied -> applied(now, writtenAt, update, outcome.version)
+                outcome == WriteOutcome.Unavailable -> {
+                    uncertain = earlier
+                    retry(writtenAt) { writeRoot(it, update) }
+                }
+                else -> loadThen(writtenAt) { settle(it, update) }
+            }
+        }
+    }
+
+    private fun applied(sentAt: Long, now: Long, update: RootUpdate, version: Long) {
+        state.root = update.root
+        state.rootVersion = version
+        state.confirmedNanos = sentAt
+        if (update.tree.revision > state.tree.revision) {
+            state.tree = update.tree
+            context.calls.emit(StoreEffect.Installed(update.tree, listOf(update.record)))
+        }
+        finish(now, SubmitOutcome.Accepted(update.tree.revision))
+    }
+
+    // The root has just been read. Its version moves with every update, so an update that names an older version
+    // can no longer take effect; one that names the current version still may, and is sent again.
+    private fun settle(now: Long, update: RootUpdate) {
+        val root = state.root
+        val accepted = root?.recent?.firstOrNull { it.id == change.id }
+        when {
+            accepted != null -> finish(now, SubmitOutcome.Accepted(accepted.revision))
+            state.rootVersion == update.ifVersion -> retry(now) { writeRoot(it, update) }
+            root == null -> giveUp(now)
+            else -> finish(now, lost(root))
+        }
+    }
+
+    private companion object {
+        const val EDITS_BYTES = 128 * 1_024
+    }
+}
+
+/** Gives a submission what it shares with the rest of its store. */
+internal class SubmissionContext(
+    val format: StringFormat,
+    val options: StoreOptions,
+    val calls: StoreCalls,
+    val state: StoreState,
+    val loader: RootLoader,
+)
--- a/core/src/main/kotlin/io/camphordrum/core/config/SubmitOutcome.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/SubmitOutcome.kt
@@ -11,10 +11,13 @@
     /** The change is not valid; nothing was written. */
     public data class Invalid(public val errors: List<TreeError>) : SubmitOutcome
 
-    /** Whether the change took effect cannot be told now; submitting it again with the same id settles it. */
+    /**
+     * Whether the change took effect cannot be told now. Submitting it again with the same id settles it, as long as
+     * the root still names the changes of that time; see [StoreOptions.recentChanges].
+     */
     public data object Unknown : SubmitOutcome
 
-    /** The platform cannot be reached; the change did not take effect. */
+    /** The platform cannot be reached; this submission did not take effect. */
     public data class Unavailable(public val retryAfterNanos: Long) : SubmitOutcome
 
     /** Too many changes are waiting; the change did not take effect. */
--- a/core/src/main/kotlin/io/camphordrum/core/config/Tree.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/Tree.kt
@@ -22,7 +22,8 @@
     /** Returns the tree with [change], whose base must be this revision. */
     public fun apply(change: Change): ApplyResult {
         if (change.base != revision) return ApplyResult.Stale(change.base, revision)
-        return TreeUpdate(this).apply(revision + 1, change.edits)
+        val faults = checkChange(change)
+        return if (faults.isEmpty()) TreeUpdate(this).apply(revision + 1, change.edits) else ApplyResult.Invalid(faults)
     }
 
     /** Returns the entry at [path], or null when there is none. */
--- a/core/src/main/kotlin/io/camphordrum/core/config/TreeUpdate.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/TreeUpdate.kt
@@ -122,23 +122,3 @@
         }
     }
 }
-
-internal fun checkEntry(place: TreePath, edit: Edit.Put): TreeError? {
-    val section = sectionOf(edit.entry)
-    return when {
-        place.section == null -> TreeError(edit.path, "a path with a section", "'${edit.path}'")
-        place.section != section -> TreeError(edit.path, "an entry of ${place.section.key}", "one of ${section.key}")
-        else -> null
-    }
-}
-
-internal fun sectionOf(entry: Entry): Section = when (entry) {
-    is Settings -> Section.SETTINGS
-    is Account -> Section.ACCOUNTS
-    is Key -> Section.KEYS
-    is Adapter -> Section.ADAPTERS
-    is Route -> Section.ROUTES
-    is DataCentre -> Section.DATA_CENTRES
-    is Endpoint -> Section.ENDPOINTS
-    is LoadBudget -> Section.LOAD_BUDGETS
-}
