--- a/core/src/main/kotlin/io/camphordrum/core/residency/FairQueue.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/FairQueue.kt
@@ -64,17 +64,12 @@
 
     /** Removes and returns the request whose turn it is among those that are [ready], or returns null. */
     fun next(ready: (Waiting) -> Boolean): Waiting? {
-        val choices = ring.map { choose(it, ready) }
-        var turn = ring.indices.firstOrNull { choices[it] != null && ring[it].credit > 0 }
-        if (turn == null) {
-            val rounds = ring.indices.filter { choices[it] != null }.minOfOrNull { roundsUntilPaid(ring[it]) }
-                ?: return null
-            advance(rounds)
-            turn = ring.indices.first { choices[it] != null && ring[it].credit > 0 }
-        }
-        val chosen = checkNotNull(choices[turn])
-        serve(ring[turn], chosen)
-        return chosen
+        val choices = ring.mapNotNull { turn -> choose(turn, ready)?.let { turn to it } }
+        if (choices.isEmpty()) return null
+        if (choices.none { (turn, _) -> turn.credit > 0 }) advance(choices.minOf { (turn, _) -> roundsUntilPaid(turn) })
+        val (turn, entry) = choices.first { (turn, _) -> turn.credit > 0 }
+        serve(turn, entry)
+        return entry
     }
 
     /** Gives back what a finished request did not use. */
--- a/core/src/main/kotlin/io/camphordrum/core/residency/Loader.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Loader.kt
@@ -135,7 +135,10 @@
         }
         if (slot == null || slot.state != SlotState.LOADING) return
         when (outcome) {
-            OrderOutcome.DONE -> slot.enter(SlotState.RESIDENT, now)
+            OrderOutcome.DONE -> {
+                slot.enter(SlotState.RESIDENT, now)
+                slot.unsettled = !takeover.settles(now)
+            }
             OrderOutcome.UNKNOWN -> slot.state = SlotState.UNKNOWN
             else -> slots.remove(order.version)
         }
--- a/core/src/main/kotlin/io/camphordrum/core/residency/Router.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Router.kt
@@ -88,7 +88,12 @@
             .map { it.endpoint.id }
     }
 
-    /** Returns the endpoints that are known to hold [version], for dispatch without tickets. */
+    /**
+     * Returns the endpoints that are known to hold [version], for dispatch without tickets.
+     *
+     * An eviction that was ordered under a valid lease can still take effect: dispatch without a ticket only when no
+     * owner has had a valid lease for [OwnerSettings.orderNanos].
+     */
     public fun holders(now: Long, version: AdapterVersion, base: BaseModelId): List<EndpointId> =
         holders[version]
             .filter { it.group == base && !it.endpoint.leaving && it.endpoint.dataCentre !in drained }
--- a/core/src/main/kotlin/io/camphordrum/core/residency/Slots.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Slots.kt
@@ -103,6 +103,7 @@
             if (slot.version in report.resident) {
                 slot.state = SlotState.RESIDENT
                 slot.sinceNanos = then
+                slot.unsettled = unsettled
             } else {
                 byVersion.remove(slot.version)
             }
--- a/core/src/main/kotlin/io/camphordrum/core/residency/Takeover.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Takeover.kt
@@ -15,7 +15,8 @@
 ) {
     private val quietNanos =
         if (firstOwner) startNanos else startNanos + settings.previousLeaseNanos + settings.orderNanos
-    private var evictNanos = if (firstOwner) NEVER_NANOS else startNanos + settings.ticketLifeNanos
+    private var evictNanos =
+        if (firstOwner) NEVER_NANOS else startNanos + settings.previousLeaseNanos + settings.ticketLifeNanos
 
     /** True once the endpoint has accepted an order with this owner's fencing number. */
     var fenceProved: Boolean = firstOwner
