Publish metrics and readiness of the daemon

Cause: operators and the load balancer need to see what a daemon does and whether it can serve. Readiness needs a configuration and a place in a generation, because a daemon without a share could only refuse.

--- a/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
@@ -75,6 +75,9 @@
     /** The configuration in force, or null before the first is known. */
     public val configuration: Snapshot? get() = snapshot
 
+    /** Whether this instance is a live member of the newest known generation of its data centre. */
+    public val joined: Boolean get() = membership.generation?.live?.contains(self) == true
+
     /** Takes a caller's request. */
     public fun arrive(now: Long, request: CallerRequest): List<CoreEffect> = collect {
         val flow = flow
@@ -383,7 +386,7 @@
                 is SpreadEffect.Send ->
                     directory.address(effect.to)?.let { out += CoreEffect.SendConfig(it, effect.message) }
                 is SpreadEffect.Installed -> {
-                    config(now, store.adopt(now, effect.tree))
+                    store.adopt(effect.tree)
                     install(now, effect.tree)
                 }
                 is SpreadEffect.Unreadable -> out += CoreEffect.ConfigUnreadable(effect.revision, effect.reason)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/CallersPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/CallersPlugin.kt
@@ -93,6 +93,7 @@
 
     private fun dispatch(order: DispatchOrder, exchange: Exchange) {
         client.dispatch(order, exchange) { end ->
+            kernel.metrics.ended(end)
             kernel.decideSurely { core, now -> core.ended(now, order.request, order.dispatch, end) }
         }
     }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointsPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointsPlugin.kt
@@ -35,6 +35,7 @@
             if (!core.mayOrder(now, order)) return@decide core.ordered(now, order.endpoint, order.order, NOT_SENT)
             client.order(effect.address, order.kind == OrderKind.LOAD, order.version, order.fencing) { status ->
                 val outcome = outcome(status)
+                kernel.metrics.ordered(order.kind, outcome)
                 log.info { "order ${order.kind} ${order.version} endpoint=${order.endpoint} outcome=$outcome" }
                 kernel.decideSurely { core, now -> core.ordered(now, order.endpoint, order.order, outcome) }
             }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Kernel.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Kernel.kt
@@ -35,6 +35,9 @@
     /** Where plug-ins register what they carry out. */
     val ports = Ports()
 
+    /** What the daemon counts. */
+    val metrics = Metrics()
+
     private val core = DecisionCore(
         CoreOptions(
             self = self,
@@ -52,9 +55,6 @@
     private val plugins = ServiceLoader.load(Plugin::class.java).sortedBy { it.order }
     private val left = CountDownLatch(1)
 
-    /** Inputs that wait for the decision thread. */
-    val ringDepth: Int get() = decisions.depth
-
     /** Whether the daemon takes no new requests. */
     @Volatile
     var draining = false
@@ -79,6 +79,8 @@
     /** Starts the decision thread and all registered plug-ins in order. */
     fun start() {
         ports.notices += ::notice
+        metrics.ringDepth { decisions.depth }
+        metrics.openRequests { core.openRequests }
         decisions.start()
         for (plugin in plugins) {
             plugin.start(this)
@@ -112,7 +114,10 @@
     }
 
     private fun run(effects: List<CoreEffect>) {
-        for (effect in effects) ports.run(effect)
+        for (effect in effects) {
+            metrics.effect(effect)
+            ports.run(effect)
+        }
     }
 
     private fun notice(effect: CoreEffect) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/OperatorsPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/OperatorsPlugin.kt
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.server.ServiceRequestContext
 import io.camphordrum.core.CoreEffect
 import io.camphordrum.core.CoreStatus
+import io.camphordrum.core.DecisionCore
 import io.camphordrum.core.InstanceId
 import io.camphordrum.core.config.Change
 import io.camphordrum.core.config.ChangeRecord
@@ -55,8 +56,11 @@
             }
             .service("/v1/explain") { ctx, _ -> explain(ctx) }
             .service("/v1/gone") { ctx, _ -> gone(ctx) }
+            .service("/metrics") { _, _ ->
+                HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, kernel.metrics.text())
+            }
             .service("/healthz") { _, _ -> HttpResponse.of(HttpStatus.OK) }
-            .service("/readyz") { _, _ -> answer(kernel.ask { core, _ -> ready(core.configuration != null) }) }
+            .service("/readyz") { _, _ -> answer(kernel.ask { core, _ -> ready(core) }) }
             .build()
         server.start().join()
     }
@@ -155,9 +159,11 @@
         return if (taken) json("{}") else error(HttpStatus.SERVICE_UNAVAILABLE, "the daemon is overloaded")
     }
 
-    private fun ready(configured: Boolean): HttpResponse = when {
+    // A daemon without a generation holds no share of any limit and could only refuse.
+    private fun ready(core: DecisionCore): HttpResponse = when {
         kernel.draining -> error(HttpStatus.SERVICE_UNAVAILABLE, "draining")
-        !configured -> error(HttpStatus.SERVICE_UNAVAILABLE, "no configuration yet")
+        core.configuration == null -> error(HttpStatus.SERVICE_UNAVAILABLE, "no configuration yet")
+        !core.joined -> error(HttpStatus.SERVICE_UNAVAILABLE, "not a member of a generation yet")
         else -> HttpResponse.of(HttpStatus.OK)
     }
 
