--- a/daemon/src/main/kotlin/io/camphordrum/daemon/PlatformPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/PlatformPlugin.kt
@@ -28,17 +28,16 @@
     private lateinit var duty: DutyThread
     private lateinit var objects: CoreObjects
     private lateinit var random: Random
-    private var rootVersion = 0L
-    private var membershipVersion = 0L
-    private var watchingRoot = false
+    private lateinit var watches: List<Watch>
     private var nextRoot = 0L
-    private var nextMembership = 0L
     private var nextInstances = 0L
-    private var watchingMembership = false
 
     @Volatile
     private var rootWatcher = true
 
+    @Volatile
+    private var coordinator = false
+
     override fun start(kernel: Kernel) {
         this.kernel = kernel
         val settings = kernel.settings
@@ -46,6 +45,11 @@
         factory = ClientFactory.builder().connectTimeoutMillis(settings.platformTimeoutMillis).build()
         store = HttpObjectStore(settings.platformUrl, factory, settings.platformTimeoutMillis)
         objects = CoreObjects(kernel, store)
+        watches = listOf(
+            watch(CONFIG_ROOT, { rootWatcher }) { kernel.decide { core, now -> core.loadConfiguration(now) } },
+            watch(MEMBERSHIP, { true }) { names -> names.forEach { objects.readMembership(it.removePrefix(MEMBERSHIP)) } },
+            watch(ALLOTMENTS, { coordinator }) { objects.run(CoreEffect.ReadAllotments) },
+        )
         duty = DutyThread("platform", RING_SLOTS, TICK_NANOS, ::tick)
         kernel.ports.notices += ::notice
         kernel.ports.store = { effect -> if (!duty.offer { objects.run(effect) }) objects.refuse(effect) }
@@ -62,51 +66,20 @@
         val generation = (effect as? CoreEffect.GenerationInForce)?.generation ?: return
         val watchers = Rendezvous.order(CONFIG_ROOT, generation.live) { it.instance.name }.take(ROOT_WATCHERS)
         rootWatcher = kernel.self in watchers
+        coordinator = generation.coordinator == kernel.self
     }
 
+    private fun watch(prefix: String, wanted: () -> Boolean, changed: (names: Set<String>) -> Unit) =
+        Watch(store, prefix, { duty.put(it) }, wanted, changed, { kernel.clock.nanos() + jittered(RETRY_NANOS) })
+
     private fun tick() {
         val now = kernel.clock.nanos()
         if (now - nextInstances >= 0) readInstances(now)
-        if (rootWatcher && !watchingRoot && now - nextRoot >= 0) watchRoot()
+        for (watch in watches) watch.tick(now)
         if (!rootWatcher && now - nextRoot >= 0) {
             nextRoot = now + jittered(ROOT_READ_NANOS)
             kernel.decide { core, at -> core.loadConfiguration(at) }
         }
-        if (!watchingMembership && now - nextMembership >= 0) watchMembership()
-    }
-
-    private fun watchRoot() {
-        watchingRoot = true
-        store.watch(CONFIG_ROOT, rootVersion, WATCH_MILLIS) { outcome ->
-            duty.put {
-                watchingRoot = false
-                if (outcome is WatchOutcome.Changed) {
-                    val version = outcome.versions[CONFIG_ROOT]
-                    if (version != null) {
-                        rootVersion = version
-                        kernel.decide { core, now -> core.loadConfiguration(now) }
-                    }
-                } else {
-                    nextRoot = kernel.clock.nanos() + jittered(RETRY_NANOS)
-                }
-            }
-        }
-    }
-
-    private fun watchMembership() {
-        watchingMembership = true
-        store.watch(MEMBERSHIP, membershipVersion, WATCH_MILLIS) { outcome ->
-            duty.put {
-                watchingMembership = false
-                when (outcome) {
-                    is WatchOutcome.Changed -> {
-                        membershipVersion = maxOf(membershipVersion, outcome.versions.values.maxOrNull() ?: 0)
-                        for (name in outcome.versions.keys) objects.readMembership(name.removePrefix(MEMBERSHIP))
-                    }
-                    is WatchOutcome.Unavailable -> nextMembership = kernel.clock.nanos() + jittered(RETRY_NANOS)
-                }
-            }
-        }
     }
 
     private fun readInstances(now: Long) {
@@ -139,10 +112,10 @@
         const val MILLI = 1_000_000L
         const val CONFIG_ROOT = "config/root"
         const val MEMBERSHIP = "membership/"
+        const val ALLOTMENTS = "allotments"
         const val ROOT_WATCHERS = 2
         const val RING_SLOTS = 1 shl 12
         const val TICK_NANOS = 20 * MILLI
-        const val WATCH_MILLIS = 30_000L
         const val RETRY_NANOS = 1_000 * MILLI
         const val ROOT_READ_NANOS = 30_000 * MILLI
     }
