Test whole fleets of decision cores under faults

Cause: the subsystems had tests of their own, but nothing tested what they do together. Small fakes stand at the core's interfaces, on a manual clock with seeded delays. Invariants are checked from what callers and endpoints saw.

--- a/core/src/test/kotlin/io/camphordrum/core/fleet/Fleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/fleet/Fleet.kt
@@ -173,6 +173,7 @@
             is CoreEffect.Store -> storePort.execute(node, effect)
             is CoreEffect.Dispatch -> dispatch(node, effect.order)
             is CoreEffect.Refuse, is CoreEffect.Answer -> answered(effect as CoreEffect.Caller)
+            is CoreEffect.CancelDispatch -> cancel(node, callers.getValue(effect.request).dispatches.last())
             is CoreEffect.OrderEndpoint -> order(node, effect)
             is CoreEffect.ReadLoad -> {
                 val report = endpoints.getValue(effect.endpoint).report(now)
@@ -192,15 +193,17 @@
 
     private fun deliver(from: Node, effect: CoreEffect.Send) {
         val to = nodes.values.firstOrNull { it.address == effect.address }
-        if (to == null || !to.alive || cut(from, to)) {
-            after(MILLI) { from.decide { core, at -> core.peerDown(at, effect.address) } }
+        if (to == null) return
+        if (!to.alive || cut(from, to)) {
+            after(MILLI) { from.disconnected(to) }
             return
         }
         if (random.nextDouble() < loss) return
         val copies = if (random.nextDouble() < duplicates) 2 else 1
         repeat(copies) {
             after(300_000L + random.nextLong(MILLI)) {
-                to.meets(from)
+                to.connected(from)
+                from.connected(to)
                 to.decide { core, at -> received(core, at, from, effect) }
             }
         }
@@ -231,6 +234,20 @@
         }
     }
 
+    // Engines stop working on a request whose connection closes.
+    private fun cancel(node: Node, order: DispatchOrder) = after(MILLI) {
+        endpoints.getValue(order.endpoint).end(order.dispatch)
+        end(node, order, DispatchEnd.Cancelled(0))
+    }
+
+    /** Ends the process of [node] at once. */
+    fun kill(node: Node) {
+        node.alive = false
+        for (caller in callers.values) {
+            if (caller.node == node.name && caller.answers.isEmpty()) caller.dispatches.forEach { cancel(node, it) }
+        }
+    }
+
     private fun finish(node: Node, order: DispatchOrder, endpoint: FakeEndpoint) {
         val whole = endpoint.end(order.dispatch)
         val answer = RecordedAnswer.of(200, "text/plain", "${order.dispatch} ${order.version}".toByteArray())
--- a/core/src/test/kotlin/io/camphordrum/core/fleet/Node.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/fleet/Node.kt
@@ -10,7 +10,13 @@
 import kotlinx.serialization.json.Json
 
 /** Runs one decision core inside a [Fleet]; while it is paused its inputs wait. */
-class Node(private val fleet: Fleet, val name: String, val dataCentre: DataCentreId, val address: String, clock: ManualClock) {
+class Node(
+    private val fleet: Fleet,
+    val name: String,
+    val dataCentre: DataCentreId,
+    val address: String,
+    clock: ManualClock,
+) {
     val member = Member(InstanceId(name), fleet.nextIncarnation())
     val core = DecisionCore(
         CoreOptions(member, dataCentre, "south", address, seeds = emptyList(), seed = member.incarnation),
@@ -23,6 +29,7 @@
     var paused = false
     var storeCut = false
     var left = false
+    val since = fleet.now
 
     /** Gives the core an input now, or after the pause. */
     fun decide(step: (DecisionCore, Long) -> List<CoreEffect>) {
@@ -39,7 +46,14 @@
         while (inbox.isNotEmpty() && !paused && alive) decide(inbox.removeFirst())
     }
 
-    fun meets(from: Node) {
-        if (met.add(from.member)) decide { core, _ -> core.peerUp(from.member, from.address) }
+    /** Tells the core that a connection with [other] is up, unless it knows. */
+    fun connected(other: Node) {
+        if (met.add(other.member)) decide { core, _ -> core.peerUp(other.member, other.address) }
+    }
+
+    /** Tells the core that [other] cannot be reached. */
+    fun disconnected(other: Node) {
+        met -= other.member
+        decide { core, at -> core.peerDown(at, other.address) }
     }
 }
