Do not end a running request when its ask would have been repeated

Cause: the time at which an unanswered ask is repeated stayed set after the grant, so every request that ran longer than 500 ms was ended with 504. Ruled out: the ticket's life (60 s) and the caller's deadline (60 s). Before: a request that runs for 10 s got 504 after 500 ms (new test, red). After: it gets its answer; the deadline and the ticket's end still stop it. Conclusion: the wake time is now always replaced at dispatch.

--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
@@ -320,7 +320,7 @@
                 timeoutMillis = maxOf(1, (untilNanos - now) / MILLI),
             ),
         )
-        if (untilNanos - p.deadlineNanos < 0) wakeAt(p, untilNanos)
+        wakeAt(p, untilNanos)
     }
 
     private fun completed(now: Long, p: Pending, end: DispatchEnd.Completed) {
--- a/core/src/test/kotlin/io/camphordrum/core/fleet/FleetTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/fleet/FleetTest.kt
@@ -36,6 +36,14 @@
             assertEquals(Fleet.version("a1", 2), caller.dispatches.single().version)
         }
 
+        @Test
+        fun `a request that runs for ten seconds is not cut off`() {
+            fleet.runNanos = 10 * SECOND
+            val caller = fleet.complete(node, "a1", "small-key")
+            fleet.run(15 * SECOND)
+            assertIs<CoreEffect.Answer>(caller.answers.single())
+        }
+
         @Test
         fun `an unknown key is refused`() {
             val caller = fleet.complete(node, "a1", "stolen")
