--- a/core/src/main/kotlin/io/camphordrum/core/residency/EndpointOwner.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/EndpointOwner.kt
@@ -256,8 +256,8 @@
     private fun expectedWait(request: TicketRequest): Long {
         val wait = queueWait(request.account)
         if (request.version == null || request.version in slots) return wait
-        val contended = queue.any { it.request.version != null && it.request.version !in slots }
-        return maxOf(wait, estimates.loadNanos(contended))
+        val ahead = queue.demand.keys.count { it !in slots && it != request.version }
+        return maxOf(wait, estimates.loadNanos(ahead))
     }
 
     // With free places everything that is resident has been granted. Otherwise each other account may go once more
--- a/core/src/main/kotlin/io/camphordrum/core/residency/FairQueue.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/FairQueue.kt
@@ -29,6 +29,7 @@
     private val ring = ArrayList<Turn>()
     private val byAccount = HashMap<AccountId, Turn>()
     private val byRequest = HashMap<Pair<Member, Long>, Waiting>()
+    private val byVersion = HashMap<AdapterVersion, Demand>()
 
     val size: Int get() = byRequest.size
 
@@ -59,6 +60,7 @@
         val entry = Waiting(request, now)
         turn.waiting += entry
         byRequest[request.from to request.request] = entry
+        request.version?.let { byVersion.getOrPut(it) { Demand() }.add(entry) }
         return true
     }
 
@@ -86,19 +88,8 @@
         return gone
     }
 
-    fun any(test: (Waiting) -> Boolean): Boolean = byRequest.values.any(test)
-
-    /** Counts the waiting tokens of each adapter. */
-    fun demand(): Map<AdapterVersion, Demand> {
-        val all = HashMap<AdapterVersion, Demand>()
-        for (turn in ring) {
-            for (entry in turn.waiting) {
-                val version = entry.request.version ?: continue
-                all.getOrPut(version) { Demand(entry.arrivedNanos) }.add(entry)
-            }
-        }
-        return all
-    }
+    /** The waiting work for each adapter. */
+    val demand: Map<AdapterVersion, Demand> get() = byVersion
 
     // Requests are kept by arrival, so the first has been passed over most often.
     private fun choose(turn: Turn, ready: (Waiting) -> Boolean): Waiting? {
@@ -126,6 +117,9 @@
         byRequest.remove(entry.request.from to entry.request.request)
         val turn = byAccount.getValue(entry.request.account)
         turn.waiting.remove(entry)
+        entry.request.version?.let { version ->
+            byVersion.computeIfPresent(version) { _, demand -> demand.takeIf { it.remove(entry) } }
+        }
         dropIfPaid(turn)
     }
 
@@ -173,12 +167,22 @@
 }
 
 /** The waiting work for one adapter. */
-internal class Demand(var oldestNanos: Long) {
+internal class Demand {
+    private val entries = LinkedHashSet<Waiting>()
+
     var tokens: Long = 0
         private set
 
+    val oldestNanos: Long get() = entries.first().arrivedNanos
+
     fun add(entry: Waiting) {
         tokens += maxOf(1, entry.request.tokens)
-        oldestNanos = minOf(oldestNanos, entry.arrivedNanos)
+        entries += entry
+    }
+
+    /** Returns false when nothing is left. */
+    fun remove(entry: Waiting): Boolean {
+        if (entries.remove(entry)) tokens -= maxOf(1, entry.request.tokens)
+        return entries.isNotEmpty()
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/residency/LoadPlan.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/LoadPlan.kt
@@ -15,7 +15,7 @@
 
     /** Returns the adapter to load next: the account with the fewest loads chooses, by waiting tokens and age. */
     fun target(now: Long): Target? {
-        val missing = queue.demand().filterKeys { it !in slots && !failures.paused(now, it) }
+        val missing = queue.demand.filterKeys { it !in slots && !failures.paused(now, it) }
         if (missing.isEmpty()) return null
         return queue.turns
             .mapNotNull { turn -> chosen(now, turn, missing) }
@@ -36,7 +36,7 @@
         val idle = slots.all.filter { slot ->
             evictable(now, slot) && !slot.unsettled && !tickets.uses(slot.version) && !usedByOthers(slot, then, report)
         }
-        val wanted = idle.filter { slot -> queue.any { it.request.version == slot.version } }.toSet()
+        val wanted = idle.filter { it.version in queue.demand }.toSet()
         val unwanted = idle.filter { it !in wanted }.minByOrNull { it.score(now) }
         if (unwanted != null || !target.overdue) return unwanted
         return wanted.minByOrNull { it.score(now) }
--- a/core/src/main/kotlin/io/camphordrum/core/residency/Loader.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Loader.kt
@@ -28,7 +28,6 @@
         val version: AdapterVersion,
         val fencing: Long,
         val untilNanos: Long,
-        val oldestNanos: Long,
         val proof: Boolean,
     )
 
@@ -81,7 +80,7 @@
             unitsHeld--
             plan.charge(target.turn)
             slots.loading(now, target.version, now + settings.orderNanos)
-            return order(now, OrderKind.LOAD, target.version, context, target.oldestNanos)
+            return order(now, OrderKind.LOAD, target.version, context)
         }
         val full = slots.count(SlotState.EVICTING) > 0 || slots.count(SlotState.UNKNOWN) > 0
         if (full || !takeover.mayEvict(now)) return null
@@ -93,7 +92,7 @@
         if (!takeUnit(now)) return null
         victim.state = SlotState.EVICTING
         victim.untilNanos = now + settings.orderNanos
-        return order(now, OrderKind.EVICT, victim.version, context, now)
+        return order(now, OrderKind.EVICT, victim.version, context)
     }
 
     // The unit is taken before the eviction, so that no adapter is evicted for a load that may not follow.
@@ -106,8 +105,8 @@
     private fun prove(now: Long, context: PlanContext): OwnerEffect? {
         if (takeover.quiet(now) || queue.size == 0 || orders.values.any { it.proof }) return null
         val resident = slots.resident()
-        val version = resident.firstOrNull { held -> queue.any { it.request.version == held } } ?: return null
-        return order(now, OrderKind.LOAD, version, context, now, proof = true)
+        val version = resident.firstOrNull { it in queue.demand } ?: return null
+        return order(now, OrderKind.LOAD, version, context, proof = true)
     }
 
     private fun order(
@@ -115,12 +114,11 @@
         kind: OrderKind,
         version: AdapterVersion,
         context: PlanContext,
-        oldestNanos: Long,
         proof: Boolean = false,
     ): OwnerEffect.Order {
         val id = context.nextId()
         val until = now + settings.orderNanos
-        orders[id] = Pending(kind, version, context.fencing, until, oldestNanos, proof)
+        orders[id] = Pending(kind, version, context.fencing, until, proof)
         val sendBefore = now + settings.orderNanos / SEND_SHARE
         return OwnerEffect.Order(id, endpoint, kind, version, context.fencing, sendBefore)
     }
@@ -129,7 +127,7 @@
         if (outcome == OrderOutcome.DONE) {
             failures.loaded(order.version)
             takeover.fenceProved = true
-            estimates.loaded(now - order.oldestNanos)
+            estimates.loaded(now, contended = queue.demand.keys.any { it !in slots })
         } else if (outcome == OrderOutcome.FAILED || outcome == OrderOutcome.UNKNOWN) {
             failures.failed(now, order.version)
         }
--- a/core/src/main/kotlin/io/camphordrum/core/residency/OwnerSettings.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/OwnerSettings.kt
@@ -27,7 +27,7 @@
     public val accountLimit: Int = 256,
     public val concurrency: Int = 32,
     public val quantumTokens: Long = 1_024,
-    public val passOverLimit: Int = 16,
+    public val passOverLimit: Int = 128,
     public val ticketLifeNanos: Long = 60 * SECOND,
     public val previousLeaseNanos: Long = 3_150 * MILLISECOND,
     public val orderNanos: Long = 5 * SECOND,
--- a/core/src/main/kotlin/io/camphordrum/core/residency/Slots.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Slots.kt
@@ -25,6 +25,12 @@
     private var use = 0.0
     private var usedNanos = sinceNanos
 
+    /** Continues with the use from an earlier residence. */
+    fun remember(earlier: Slot) {
+        use = earlier.use
+        usedNanos = earlier.usedNanos
+    }
+
     fun used(now: Long, tokens: Long) {
         use = score(now) + tokens
         usedNanos = now
@@ -35,7 +41,7 @@
 
     // Use is remembered for about as long as popularity is stable.
     private companion object {
-        const val HALF_LIFE_NANOS = 60 * SECOND
+        const val HALF_LIFE_NANOS = 600 * SECOND
     }
 }
 
@@ -43,6 +49,7 @@
 internal class Slots {
     private val byVersion = LinkedHashMap<AdapterVersion, Slot>()
     private val evicted = LinkedHashMap<AdapterVersion, Long>()
+    private val past = LinkedHashMap<AdapterVersion, Slot>()
 
     var capacity: Int = 0
         private set
@@ -63,7 +70,10 @@
 
     fun loading(now: Long, version: AdapterVersion, untilNanos: Long) {
         evicted.remove(version)
-        byVersion[version] = Slot(version, SlotState.LOADING, now).also { it.untilNanos = untilNanos }
+        val slot = Slot(version, SlotState.LOADING, now)
+        slot.untilNanos = untilNanos
+        past.remove(version)?.let(slot::remember)
+        byVersion[version] = slot
     }
 
     fun remove(version: AdapterVersion) {
@@ -71,7 +81,8 @@
     }
 
     fun evicted(now: Long, version: AdapterVersion) {
-        byVersion.remove(version)
+        byVersion.remove(version)?.let { past[version] = it }
+        if (past.size > PAST_LIMIT) past.remove(past.keys.first())
         if (evicted.size >= EVICTED_LIMIT) evicted.remove(evicted.keys.first())
         evicted[version] = now
     }
@@ -121,5 +132,8 @@
     private companion object {
         const val SLOT_LIMIT = 256
         const val EVICTED_LIMIT = 256
+
+        // Remembered use keeps an adapter that returns often from being the first to be evicted each time.
+        const val PAST_LIMIT = 512
     }
 }
