--- a/core/src/main/kotlin/io/camphordrum/core/config/ConfigStore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/ConfigStore.kt
@@ -62,8 +62,10 @@
     }
 
     /** Takes over a [newer] revision that came from a peer; an older one is ignored. */
-    public fun adopt(newer: Tree) {
+    public fun adopt(now: Long, newer: Tree): List<StoreEffect> {
         if (newer.revision > state.tree.revision) state.tree = newer
+        startNext(now)
+        return calls.take()
     }
 
     /** Reads the newest [limit] change records; the answer follows as [StoreEffect.History] with [query]. */
--- a/core/src/test/kotlin/io/camphordrum/core/config/ConfigStoreTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/config/ConfigStoreTest.kt
@@ -54,7 +54,7 @@
         @Test
         fun `a change after a revision from a peer builds on what the platform has`() {
             first.submit(change("c1", 0, one))
-            second.store.adopt(first.store.tree)
+            second.store.adopt(0, first.store.tree)
             assertEquals(SubmitOutcome.Accepted(2), second.submit(change("c2", 1, two)))
         }
 
