Add the load tool with eight scenarios and two baselines

Change: module bench starts 8 daemons and the stand-ins as processes on loopback, plans Poisson arrivals with Zipf popularity from a seed, checks each answer's text, and writes result.json, report.md and two plots. The sizes of both users are JSON resources. Round robin without residency (under the same load budget) and direct calls are the baselines. The exit status is 1 when a count that must be zero is not. The quick start's check now also fails when a daemon logs nothing.

--- /dev/null
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Size.kt
@@ -0,0 +1,53 @@
+package io.camphordrum.bench
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** Describes a client account of the load: its [share] of all requests and its limits. */
+@Serializable
+data class AccountSize(val name: String, val share: Double, val tokensPerSecond: Long, val burstTokens: Long)
+
+/**
+ * Describes a fleet and its load, as read from `sizes/NAME.json`.
+ *
+ * @property outputTokens the smallest and largest number of tokens that a request asks for.
+ * @property zipfExponent how fast the popularity of adapters falls with their rank.
+ */
+@Serializable
+data class Size(
+    val dataCentres: List<String>,
+    val daemons: Int,
+    val engines: Int,
+    val enginePool: String,
+    val services: Int,
+    val servicePool: String,
+    val route: String,
+    val base: String,
+    val adapters: Int,
+    val slots: Int,
+    val loadsPerSecond: Long,
+    val loadsInFlight: Int,
+    val requestsPerSecond: Double,
+    val ordersPerSecond: Double,
+    val zipfExponent: Double,
+    val outputTokens: List<Int>,
+    val accounts: List<AccountSize>,
+) {
+    /** Returns the data centre of the daemon or replica with number [index]. */
+    fun dataCentre(index: Int): String = dataCentres[index % dataCentres.size]
+
+    companion object {
+        @OptIn(ExperimentalSerializationApi::class)
+        private val json = Json {
+            allowComments = true
+            allowTrailingComma = true
+        }
+
+        /** Reads the size called [name], or returns null when there is none. */
+        fun read(name: String): Size? =
+            Size::class.java.getResourceAsStream("/sizes/$name.json")?.use {
+                json.decodeFromString(serializer(), it.readBytes().decodeToString())
+            }
+    }
+}
