--- a/bench/src/main/kotlin/io/camphordrum/bench/EndpointRecords.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/EndpointRecords.kt
@@ -33,6 +33,12 @@
         .mapNotNull { it.jsonObject["idempotencyKey"]?.jsonPrimitive?.contentOrNull }
         .groupingBy { it }.eachCount()
 
+    /** Returns how many completions the engine with number [engine] began between two times of the wall clock. */
+    fun beganBetween(engine: Int, fromEpochMillis: Long, toEpochMillis: Long): Int =
+        (engines[engine]["served"] as JsonArray).count {
+            it.jsonObject.number("startedEpochMillis") in fromEpochMillis..toEpochMillis
+        }
+
     /** Bodies of all completions that reached an engine. */
     private val bodies = engines.flatMap { it["served"] as JsonArray }
         .map { it.jsonObject["body"]?.jsonPrimitive?.contentOrNull.orEmpty() }
--- a/bench/src/main/kotlin/io/camphordrum/bench/Report.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Report.kt
@@ -68,6 +68,7 @@
         append("best fixed placement in hindsight: ${result.bestFixedLoads} loads\n")
         append("- Most loads in flight: ${result.maxLoadsInFlight}\n")
         append("- Largest batch: ${result.maxEngineConcurrency}\n")
+        result.startsAfterDrain?.let { append("- Completions begun in the drained data centre after 3 s: $it\n") }
         append("- Platform calls per second, all daemons: %.2f\n".format(result.platformCallsPerSecond))
     }
 
--- a/bench/src/main/kotlin/io/camphordrum/bench/Run.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Run.kt
@@ -13,6 +13,8 @@
 ) {
     private val plan = scenario.plan(size, seed, seconds)
 
+    private var startEpochMillis = 0L
+
     /** The outcomes of the run; empty before its end. */
     var outcomes: List<Outcome> = emptyList()
         private set
@@ -24,6 +26,7 @@
         val before = EndpointRecords(fleet)
         fleet.startDaemons()
         val startNanos = System.nanoTime() + LEAD_NANOS
+        startEpochMillis = System.currentTimeMillis() + LEAD_NANOS / 1_000_000
         val callsBefore = EndpointRecords(fleet).platformCalls
         val happened = load(startNanos)
         val after = EndpointRecords(fleet)
@@ -97,6 +100,13 @@
         return call().firstByteNanos - began
     }
 
+    private fun startsAfterDrain(records: EndpointRecords, happened: List<Timeline.Entry>): Int? {
+        val (left, returned) = happened.takeIf { it.size == 2 } ?: return null
+        val from = startEpochMillis + (left.endedSeconds * 1000).toLong() + DRAIN_MILLIS
+        val to = startEpochMillis + (returned.beganSeconds * 1000).toLong()
+        return size.drainedEngines().sumOf { records.beganBetween(it, from, to) }
+    }
+
     private fun result(
         before: EndpointRecords,
         after: EndpointRecords,
@@ -126,6 +136,7 @@
             maxLoadsInFlight = after.maxLoadsInFlight,
             maxEngineConcurrency = after.maxConcurrency,
             platformCallsPerSecond = (after.platformCalls - callsBefore) / seconds.toDouble(),
+            startsAfterDrain = if (scenario == Scenario.DATACENTRE) startsAfterDrain(after, happened) else null,
             happened = happened.map { Happened(it.name, it.beganSeconds, it.endedSeconds, it.fault) },
             roundRobin = baseline,
             addedLatency = added,
@@ -136,6 +147,7 @@
 
     private companion object {
         val RESIDENT = Regex("engine_lora_resident\\{adapter=\"([^\"]+)\"} 1")
+        const val DRAIN_MILLIS = 3_000L
         const val LEAD_NANOS = 500_000_000L
         const val COMPARED_CALLS = 400
         const val WARM_UP_CALLS = 100
--- a/bench/src/main/kotlin/io/camphordrum/bench/RunResult.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/RunResult.kt
@@ -51,6 +51,7 @@
  *
  * @property stalls requests whose first token took at least 200 ms, which is most of one load.
  * @property bestFixedLoads loads of the best fixed placement known in hindsight.
+ * @property startsAfterDrain completions that a data centre began from 3 s after it left until it returned.
  * @property maxLoadsInFlight most loads at once over all engines.
  */
 @Serializable
@@ -71,6 +72,7 @@
     val maxEngineConcurrency: Long,
     val platformCallsPerSecond: Double,
     val happened: List<Happened>,
+    val startsAfterDrain: Int?,
     val roundRobin: RoundRobinResult?,
     val addedLatency: AddedLatency?,
     val examples: List<String>,
--- a/bench/src/main/kotlin/io/camphordrum/bench/Size.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Size.kt
@@ -37,6 +37,9 @@
     /** Returns the data centre of the daemon or replica with number [index]. */
     fun dataCentre(index: Int): String = dataCentres[index % dataCentres.size]
 
+    /** Returns the numbers of the engines in the last data centre, which scenarios take out of service. */
+    fun drainedEngines(): List<Int> = (0 until engines).filter { dataCentre(it) == dataCentres.last() }
+
     companion object {
         @OptIn(ExperimentalSerializationApi::class)
         private val json = Json {
--- a/standins/src/test/kotlin/io/camphordrum/standins/EngineRecord.kt
+++ b/standins/src/test/kotlin/io/camphordrum/standins/EngineRecord.kt
@@ -15,12 +15,15 @@
     val headers: JsonObject,
     val body: String,
 ) {
+    private val startedEpochMillis = System.currentTimeMillis()
+
     @Volatile var tokens = 0
 
     @Volatile var outcome = "running"
 
     fun toJson() = buildJsonObject {
         put("path", path)
+        put("startedEpochMillis", startedEpochMillis)
         put("dispatchId", dispatch)
         put("adapter", adapter)
         put("outcome", outcome)
