--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
@@ -10,7 +10,6 @@
 import io.camphordrum.core.RefusalCode
 import io.camphordrum.core.config.KeyHash
 import io.camphordrum.core.config.Snapshot
-import io.camphordrum.core.limits.Admission
 import io.camphordrum.core.limits.ShareHolder
 import io.camphordrum.core.once.ClaimKey
 import io.camphordrum.core.residency.DenyReason
@@ -48,6 +47,7 @@
     private val deadlines = Deadlines()
     private val budget = RetryBudget()
     private val resolver = Resolver(stale)
+    private val limits = LimitQueue(shares::admit) { snapshot()?.limits()?.get(it) }
     private val asks = HashMap<Long, Pending>()
     private val closedAsks = ClosedAsks(settings.closedAsks)
     private var nextAsk = 0L
@@ -183,6 +183,7 @@
 
     /** Does what is due at [now]. */
     public fun tick(now: Long): List<RequestEffect> = collect {
+        limits.tick(now, { charged(now, it) }) { p, retry -> refuse(now, p, overLimit(p.target, retry)) }
         for (id in deadlines.due(now)) {
             val p = pending[id] ?: continue
             if (now - p.deadlineNanos >= 0) {
@@ -205,26 +206,17 @@
     private fun charge(now: Long, p: Pending) {
         p.step = Step.LIMIT
         p.limitUntilNanos = minOf(p.deadlineNanos, now + p.target.settings.limitWaitMillis * MILLI)
-        tryCharge(now, p)
+        when (val answer = limits.add(now, p)) {
+            LimitAnswer.Charged -> charged(now, p)
+            LimitAnswer.Queued -> Unit
+            is LimitAnswer.Refused -> refuse(now, p, overLimit(p.target, answer.retryAfterNanos))
+        }
     }
 
-    private fun tryCharge(now: Long, p: Pending) {
-        val target = p.target
-        when (val admission = shares.admit(now, target.account, target.charge)) {
-            Admission.Granted -> {
-                p.chargedAtNanos = now
-                p.queueUntilNanos = minOf(p.deadlineNanos, now + target.settings.queueMillis * MILLI)
-                findTicket(now, p)
-            }
-            is Admission.Wait -> {
-                if (now - p.limitUntilNanos < 0) {
-                    wakeAt(p, minOf(admission.untilNanos, p.limitUntilNanos))
-                } else {
-                    refuse(now, p, overLimit(p.target, admission.untilNanos - now))
-                }
-            }
-            is Admission.Refused -> refuse(now, p, overLimit(p.target, admission.retryAfterNanos))
-        }
+    private fun charged(now: Long, p: Pending) {
+        p.chargedAtNanos = now
+        p.queueUntilNanos = minOf(p.deadlineNanos, now + p.target.settings.queueMillis * MILLI)
+        findTicket(now, p)
     }
 
     private fun findTicket(now: Long, p: Pending) {
@@ -367,7 +359,6 @@
 
     private fun wake(now: Long, p: Pending) {
         when (p.step) {
-            Step.LIMIT -> tryCharge(now, p)
             Step.TICKET -> {
                 // The ask or its answer may have been lost; the owner answers a repeated ask in the same way.
                 val asked = p.asked ?: return findTicket(now, p)
@@ -375,7 +366,7 @@
                 wakeAt(p, now + settings.askRepeatNanos)
             }
             Step.RUN -> expire(now, p)
-            Step.CLAIM -> Unit
+            Step.CLAIM, Step.LIMIT -> Unit
         }
     }
 
@@ -425,6 +416,7 @@
 
     private fun remove(p: Pending) {
         pending.remove(p.id)
+        if (p.step == Step.LIMIT) limits.remove(p)
         closeAsk(p)
         out += RequestEffect.Close(p.id)
     }
--- /dev/null
+++ b/core/src/test/kotlin/io/camphordrum/core/fleet/FleetStore.kt
@@ -0,0 +1,127 @@
+package io.camphordrum.core.fleet
+
+import io.camphordrum.core.CoreEffect
+import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.WriteOutcome
+import io.camphordrum.core.config.ReadOutcome
+import io.camphordrum.core.limits.AllotmentOutcome
+import io.camphordrum.core.limits.AllotmentRecord
+import io.camphordrum.core.membership.MembershipRecord
+import io.camphordrum.core.once.ClaimShard
+import io.camphordrum.core.config.WriteOutcome as ConfigWrite
+
+/** Carries the store effects of the cores to a [FakeStore], with delays, outages and lost answers. */
+class FleetStore(private val fleet: Fleet, private val store: FakeStore) {
+    fun execute(node: Node, effect: CoreEffect.Store) {
+        store.calls++
+        when (effect) {
+            is CoreEffect.ReadMembership -> readMembership(node, effect.dataCentre)
+            is CoreEffect.WriteMembership ->
+                write(node, "membership/${effect.dataCentre}", effect.record, effect.expectedVersion) { outcome ->
+                    node.decide { core, at -> core.membershipWritten(at, outcome) }
+                }
+            CoreEffect.ReadAllotments -> readAllotments(node)
+            is CoreEffect.WriteAllotments ->
+                write(node, "allotments", effect.record, effect.expectedVersion) { outcome ->
+                    node.decide { core, at -> core.allotmentsWritten(at, allotment(outcome)) }
+                }
+            is CoreEffect.ReadClaims -> read(node, effect.id.objectName) { found ->
+                node.decide { core, at ->
+                    if (found == null) {
+                        core.claimsReadFailed(at, effect.id)
+                    } else {
+                        core.claimsRead(at, effect.id, found.value as ClaimShard?, found.version)
+                    }
+                }
+            }
+            is CoreEffect.WriteClaims ->
+                write(node, effect.id.objectName, effect.value, effect.expectedVersion) { outcome ->
+                    node.decide { core, at -> core.claimsWritten(at, effect.id, outcome) }
+                }
+            is CoreEffect.ReadConfig -> read(node, effect.name) { found ->
+                val outcome = when {
+                    found == null -> ReadOutcome.Unavailable
+                    found.value == null -> ReadOutcome.Missing
+                    else -> ReadOutcome.Found(found.value as String, found.version)
+                }
+                node.decide { core, at -> core.configRead(at, effect.request, outcome) }
+            }
+            is CoreEffect.WriteConfig -> write(node, effect.name, effect.value, effect.ifVersion) { outcome ->
+                node.decide { core, at -> core.configWritten(at, effect.request, config(outcome)) }
+            }
+        }
+    }
+
+    fun readAllotments(node: Node) = read(node, "allotments") { found ->
+        val stored = found ?: return@read
+        val record = stored.value as AllotmentRecord?
+        node.decide { core, at -> core.allotmentsRead(at, record, stored.version) }
+    }
+
+    fun readMembership(node: Node, dataCentre: DataCentreId) {
+        val sent = fleet.now
+        read(node, "membership/$dataCentre") { found ->
+            node.decide { core, at ->
+                when {
+                    found != null -> {
+                        val record = found.value as MembershipRecord?
+                        core.membershipRead(at, sent, dataCentre, record, found.version)
+                    }
+                    dataCentre == node.dataCentre -> core.membershipReadFailed(at)
+                    else -> emptyList()
+                }
+            }
+        }
+    }
+
+    private class Read(val value: Any?, val version: Long)
+
+    private fun read(node: Node, name: String, end: (Read?) -> Unit) {
+        fleet.after(Fleet.MILLI) {
+            if (unreachable(node)) {
+                fleet.after(TIMEOUT) { end(null) }
+            } else {
+                val stored = store.read(name)
+                val read = Read(stored?.value, stored?.version ?: 0)
+                fleet.after(Fleet.MILLI) { end(read) }
+            }
+        }
+    }
+
+    private fun write(node: Node, name: String, value: Any, expected: Long, end: (WriteOutcome) -> Unit) {
+        fleet.after(Fleet.MILLI) {
+            if (unreachable(node)) {
+                fleet.after(TIMEOUT) { end(WriteOutcome.Unknown) }
+            } else {
+                val version = store.write(name, value, expected)
+                val lost = version != null && store.loseAnswers-- > 0
+                val outcome = when {
+                    lost -> WriteOutcome.Unknown
+                    version == null -> WriteOutcome.Conflict
+                    else -> WriteOutcome.Applied(version)
+                }
+                fleet.after(if (lost) TIMEOUT else Fleet.MILLI) { end(outcome) }
+            }
+        }
+    }
+
+    private fun unreachable(node: Node) = store.out || node.storeCut
+
+    private fun allotment(outcome: WriteOutcome) = when (outcome) {
+        is WriteOutcome.Applied -> AllotmentOutcome.APPLIED
+        WriteOutcome.Conflict -> AllotmentOutcome.CONFLICT
+        WriteOutcome.Unknown -> AllotmentOutcome.UNKNOWN
+        WriteOutcome.Unavailable -> AllotmentOutcome.UNAVAILABLE
+    }
+
+    private fun config(outcome: WriteOutcome) = when (outcome) {
+        is WriteOutcome.Applied -> ConfigWrite.Applied(outcome.version)
+        WriteOutcome.Conflict -> ConfigWrite.Conflict
+        WriteOutcome.Unknown -> ConfigWrite.Unknown
+        WriteOutcome.Unavailable -> ConfigWrite.Unavailable
+    }
+
+    private companion object {
+        const val TIMEOUT = 2_000 * Fleet.MILLI
+    }
+}
