--- a/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
@@ -386,7 +386,7 @@
                 is SpreadEffect.Send ->
                     directory.address(effect.to)?.let { out += CoreEffect.SendConfig(it, effect.message) }
                 is SpreadEffect.Installed -> {
-                    store.adopt(effect.tree)
+                    store.adopt(now, effect.tree)
                     install(now, effect.tree)
                 }
                 is SpreadEffect.Unreadable -> out += CoreEffect.ConfigUnreadable(effect.revision, effect.reason)
