Collect parts before giving them to another data centre, and retry a lost race soon

Cause: with demand on one daemon at 90% of the rate, requests were refused for two seconds. The object allotments is written once a second; the coordinator gave its own surplus first, so the members' surplus waited for the next write, and a write that lost a race waited a whole second. Ruled out: shorter periods for demand reports and reads (250 ms and 1 s) left the two refusals unchanged and were reverted. Conclusion: surplus is collected for 50 ms and given with one write.

--- a/core/src/main/kotlin/io/camphordrum/core/limits/Allotments.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/Allotments.kt
@@ -140,6 +140,8 @@
     public fun written(now: Long, outcome: AllotmentOutcome): List<AllotmentEffect> {
         awaitingOutcome = false
         version = null
+        // A lost race costs a short pause and not a whole period, because parts may be waiting to be given.
+        if (outcome == AllotmentOutcome.CONFLICT) wroteAt = now - WRITE_PERIOD_NANOS + CONFLICT_PAUSE_NANOS
         val open = attempt ?: return emptyList()
         if (outcome == AllotmentOutcome.APPLIED) {
             newestVersion = maxOf(newestVersion, open.expectedVersion + 1)
@@ -227,6 +229,7 @@
     }
 
     private companion object {
+        const val CONFLICT_PAUSE_NANOS = 50_000_000L
         const val WRITE_PERIOD_NANOS = 1_000_000_000L
         const val WANTED_STEP = 20_000
         const val KEPT_STEPS = 5
--- a/core/src/main/kotlin/io/camphordrum/core/limits/ShareHolder.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/ShareHolder.kt
@@ -245,25 +245,30 @@
         return effects
     }
 
-    // Gives this member's surplus to data centres that lack parts, and asks the other members for theirs.
+    // Asks the members for their surplus, and gives it with this member's own to data centres that lack parts. Parts
+    // are collected before they are given, because the object is written at most once a second.
     private fun giveAway(now: Long, current: Settlement, store: Allotments): List<ShareEffect> {
         if (!current.isReady || isReleasing) return emptyList()
-        val missing = mutableListOf<ShareAmount>()
-        for ((account, request) in store.requests()) {
+        val requests = store.requests()
+        if (requests.isEmpty()) return emptyList()
+        val asks = collect(now, requests.map { (account, request) -> ShareAmount(account, request.second, 0) })
+        if (collectedAt.let { it != null && now - it < COLLECT_NANOS }) return asks
+        for ((account, request) in requests) {
             val (to, wanted) = request
-            val parts = exchange.give(now, ShareAmount(account, wanted, 0), isCollection = false)?.parts ?: 0
-            if (parts > 0) {
-                current.given(account, parts)
-                store.give(to, account, parts)
-            }
-            if (wanted > parts) missing += ShareAmount(account, wanted - parts, 0)
+            val parts = exchange.give(now, ShareAmount(account, wanted, 0), isCollection = false)?.parts ?: continue
+            current.given(account, parts)
+            store.give(to, account, parts)
         }
+        return asks
+    }
+
+    private fun collect(now: Long, wanted: List<ShareAmount>): List<ShareEffect> {
         val last = collectedAt
-        if (missing.isEmpty() || last != null && now - last < parameters.storePeriodNanos) return emptyList()
-        collectedAt = now
         val members = generation ?: return emptyList()
+        if (last != null && now - last < parameters.storePeriodNanos) return emptyList()
+        collectedAt = now
         return members.live.filter { it != self && !ledger.isReleased(it) }
-            .map { ShareEffect.Send(it, ShareMessage.Ask(members.number, missing, onBehalfOf = self)) }
+            .map { ShareEffect.Send(it, ShareMessage.Ask(members.number, wanted, onBehalfOf = self)) }
     }
 
     private fun reportDemand(now: Long, current: Generation): List<ShareEffect> {
@@ -302,6 +307,7 @@
     private companion object {
         // Refusals that no local refill can end name this time; parts may have moved by then.
         const val RETRY_NANOS = 1_000_000_000L
+        const val COLLECT_NANOS = 50_000_000L
         const val MAX_ACKNOWLEDGE_PERIOD_NANOS = 5_000_000_000L
     }
 }
