--- a/bench/src/main/kotlin/io/camphordrum/bench/Fleet.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Fleet.kt
@@ -78,7 +78,7 @@
 
     /** Runs the operators' tool and fails unless it succeeds. */
     fun operator(vararg arguments: String) {
-        val all = listOf("--address", addresses.first().operators) + arguments
+        val all = arguments.toList() + listOf("--who", "bench", "--server", addresses.first().operators)
         val log = logs.resolve("operator.log")
         val tool = ChildProcess(ChildProcess.java(root, "ctl", "io.camphordrum.ctl.MainKt", 256, all), log)
         tool.start()
--- a/bench/src/main/kotlin/io/camphordrum/bench/Scenario.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Scenario.kt
@@ -51,8 +51,8 @@
             STEADY, SHIFT, FLOOD -> emptyList()
             COLD -> listOf(Event(third, "engine-0 restarts") { it.control(it.engines[0], restartMessage()) })
             DATACENTRE -> listOf(
-                Event(third, "$lastCentre leaves") { it.operator("drain", lastCentre) },
-                Event(2 * third, "$lastCentre returns") { it.operator("serve", lastCentre) },
+                Event(third, "$lastCentre leaves") { it.operator("drain", "data-centre", lastCentre) },
+                Event(2 * third, "$lastCentre returns") { it.operator("return", "data-centre", lastCentre) },
             )
             OUTAGE -> listOf(Event(0.0, "the platform is out") { it.control(it.platform, outage()) })
             KILL -> listOf(Event(third, "daemon 0 is killed") { it.kill(0) })
