Renew leases by witnesses and remove silent members

Cause: exclusive rights need one holder under pauses, lost and late messages, partitions and lost write answers.

The record keeps a history of changes. Without it, promises of a member's current witnesses would not stop the witnesses of an older generation that the member may still act on. holds() adds what a lease alone cannot give: the new owner waits until the earlier one has adopted a generation.

Seen: the property found that a member that missed a generation kept the old start of the wait after its target had been removed and had joined again, and removed it at once; the wait now starts over. A first version timed out writes by itself; a late answer could then be taken for the next write's answer, so the caller now reports exactly one outcome for each write.

--- a/core/src/main/kotlin/io/camphordrum/core/membership/Membership.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/membership/Membership.kt
@@ -45,9 +45,9 @@
  *    m because it is leaving. A witness that restarts is another member; acknowledgements of its new incarnation do
  *    not count in generations that list the old one.
  * 4. *Rights are freed after the lease.* A member writes the generation without m only after 105% of L on its own
- *    clock since it first saw the mark, which is at least L of real time after t. It starts to wait again if it missed
- *    a generation, in which m may have come back. By 1 and 2, no lease of m is valid then. A member that leaves by itself gives up its lease for ever before it sends the write. A replaced
- *    incarnation has ended.
+ *    clock since it first saw the mark, which is at least L of real time after t. It starts to wait again if it
+ *    missed a generation, in which m may have come back. By 1 and 2, no lease of m is valid then. A member that leaves
+ *    by itself gives up its lease for ever before it sends the write. A replaced incarnation has ended.
  * 5. *Generations may overlap, ownership does not.* A member that has not heard of N + 1 keeps renewing its lease in N
  *    through witnesses that have not heard of it either. [holds] therefore asks for more than the lease: the new
  *    owner of an endpoint waits until each listed member that owned it in an earlier generation is known to have
--- a/core/src/main/kotlin/io/camphordrum/core/membership/Store.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/membership/Store.kt
@@ -25,11 +25,11 @@
 
     fun reading(now: Long) {
         readSentAt = now
-        mustRead = false
     }
 
     fun readAnswered(now: Long) {
         readSentAt = null
+        mustRead = false
         failures = 0
         nextRead = now + READ_SPACING_NANOS
     }
@@ -42,7 +42,7 @@
 
     fun mayWrite(now: Long): Boolean {
         // No time-out here: a late answer would be taken for the answer of the next write.
-        return write == null && !mustRead && readSentAt == null && due(now, nextWrite)
+        return write == null && !mustRead && due(now, nextWrite)
     }
 
     fun writing(now: Long, record: MembershipRecord, expectedVersion: Long) {
--- a/core/src/test/kotlin/io/camphordrum/core/membership/MembershipSimulation.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/membership/MembershipSimulation.kt
@@ -40,7 +40,7 @@
     private var events = mutableListOf<Event>()
     private var version = 0L
     private var loss = 0.0
-    private var storeOut = false
+    private val storeOut = BooleanArray(size)
     private var lostAnswers = 0.0
     private var incarnation = 1L
 
@@ -70,7 +70,7 @@
         groups.fill(0)
         loss = 0.0
         lostAnswers = 0.0
-        storeOut = false
+        storeOut.fill(false)
         for (process in processes) process.pausedUntil = 0
     }
 
@@ -89,15 +89,18 @@
         for (slot in slots) groups[slot] = 1
     }
 
-    fun cutStore(out: Boolean) {
-        storeOut = out
+    fun cutStore(vararg slots: Int) {
+        for (slot in slots) storeOut[slot] = true
     }
 
     private fun disturb() {
         loss = listOf(0.0, 0.0, 0.1, 0.5).random(random)
         lostAnswers = listOf(0.0, 0.1, 0.5).random(random)
-        storeOut = random.nextInt(5) == 0
-        for (slot in groups.indices) groups[slot] = if (random.nextInt(3) == 0) random.nextInt(3) else 0
+        val outage = random.nextInt(5) == 0
+        for (slot in groups.indices) {
+            groups[slot] = if (random.nextInt(3) == 0) random.nextInt(3) else 0
+            storeOut[slot] = outage || random.nextInt(3) == 0
+        }
         for (process in processes.toList()) {
             when (random.nextInt(12)) {
                 0, 1 -> process.pausedUntil = now + random.nextLong(9_000_000_000)
@@ -145,7 +148,7 @@
         later(storeDelay(), null) {
             val found = record
             val foundVersion = version
-            val fails = storeOut || random.nextDouble() < lostAnswers
+            val fails = storeOut[process.slot] || random.nextDouble() < lostAnswers
             later(storeDelay(), process) {
                 act(process) { if (fails) storeReadFailed(it) else storeRead(it, sentAt, found, foundVersion) }
             }
@@ -159,7 +162,7 @@
         val late = if (lost && random.nextBoolean()) 5_000_000_000 else 0L
         later(storeDelay() + late, null) {
             val outcome = when {
-                storeOut -> WriteOutcome.Unavailable
+                storeOut[process.slot] -> WriteOutcome.Unavailable
                 version != write.expectedVersion -> WriteOutcome.Conflict
                 else -> apply(write.record)
             }
--- /dev/null
+++ b/core/src/test/kotlin/io/camphordrum/core/membership/MembershipTest.kt
@@ -0,0 +1,239 @@
+package io.camphordrum.core.membership
+
+import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.Generation
+import io.camphordrum.core.GenerationMember
+import io.camphordrum.core.InstanceId
+import io.camphordrum.core.ManualClock
+import io.camphordrum.core.Member
+import io.camphordrum.core.MemberState
+import io.camphordrum.core.WriteOutcome
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class MembershipTest {
+    private val clock = ManualClock(500)
+    private val a = entry("a")
+    private val b = entry("b")
+    private val c = entry("c")
+    private val membership = Membership(a.member, DataCentreId("dc"), a.peerAddress, seed = 1)
+
+    private fun entry(name: String, incarnation: Long = 1, address: String = "$name:1") =
+        GenerationMember(Member(InstanceId(name), incarnation), address, MemberState.LIVE)
+
+    private fun record(number: Long, vararg members: GenerationMember) =
+        MembershipRecord(Generation(DataCentreId("dc"), number, members.toList(), members.first().member))
+
+    private fun read(record: MembershipRecord?, sentAt: Long = clock.nanos()) =
+        membership.storeRead(clock.nanos(), sentAt, record, record?.generation?.number ?: 0)
+
+    private fun receive(from: GenerationMember, message: MembershipMessage) =
+        membership.receive(clock.nanos(), from.member, message)
+
+    private fun tick(millis: Long = 0): List<MembershipEffect> {
+        val effects = ArrayList<MembershipEffect>()
+        repeat((millis / 100).toInt()) {
+            clock.advance(100_000_000)
+            effects += membership.tick(clock.nanos())
+        }
+        return effects + membership.tick(clock.nanos())
+    }
+
+    private fun List<MembershipEffect>.sent(to: GenerationMember) =
+        filterIsInstance<MembershipEffect.Send>().filter { it.to == to.member }.map { it.message }
+
+    private fun List<MembershipEffect>.written() = filterIsInstance<MembershipEffect.WriteStore>().map { it.record }
+
+    private fun List<MembershipEffect>.reads() = count { it is MembershipEffect.ReadStore }
+
+    private fun valid() = membership.leaseValid(clock.nanos())
+
+    @Nested
+    inner class Lease {
+        /** Guards against a lease that lasts longer when the answer is late. */
+        @Test
+        fun `counts from before the read was sent`() {
+            val sentAt = clock.nanos()
+            clock.advance(2_000_000_000)
+            read(record(1, a), sentAt)
+            assertTrue(valid())
+            clock.advance(Membership.VALID_NANOS - 2_000_000_000)
+            assertFalse(valid())
+        }
+
+        /** Guards against counting acknowledgements of another generation or of too few witnesses. */
+        @Test
+        fun `needs acknowledgements of a quorum in the current generation`() {
+            val beats = receive(b, GenerationNotice(record(7, a, b, c), 7)).sent(b)
+            val beat = assertIs<Heartbeat>(beats.first())
+            receive(b, Acknowledgement(7, beat.sequence, granted = true, revision = 0))
+            receive(c, Acknowledgement(6, beat.sequence, granted = true, revision = 0))
+            receive(c, Acknowledgement(7, beat.sequence, granted = false, revision = 0))
+            assertFalse(valid())
+            receive(c, Acknowledgement(7, beat.sequence, granted = true, revision = 0))
+            assertTrue(valid())
+        }
+
+        /** Guards against a lease that ends with every join in the data centre. */
+        @Test
+        fun `stays valid when another member joins`() {
+            read(record(1, a, b))
+            receive(b, GenerationNotice(record(2, a, b, c), 2))
+            assertTrue(valid())
+        }
+
+        /** Guards against using rights after the mark, or after a graceful leave was asked for. */
+        @Test
+        fun `ends with the mark and with a leave`() {
+            read(record(1, a, b))
+            receive(b, GenerationNotice(record(2, a.copy(state = MemberState.LEAVING), b), 2))
+            assertFalse(valid())
+            val other = Membership(b.member, DataCentreId("dc"), b.peerAddress, seed = 2)
+            other.storeRead(0, 0, record(1, a, b), 1)
+            val effects = other.leave(0)
+            assertFalse(other.leaseValid(0))
+            assertEquals(listOf(a), effects.written().single().generation.members)
+        }
+
+        /** Guards against calls to the store that grow with nothing changing. */
+        @Test
+        fun `needs no store while witnesses answer, and less than a read a second without witnesses`() {
+            read(record(1, a, b))
+            var calls = 0
+            repeat(100) {
+                val effects = tick(100)
+                calls += effects.reads() + effects.written().size
+                for (beat in effects.sent(b).filterIsInstance<Heartbeat>()) {
+                    receive(b, Acknowledgement(1, beat.sequence, granted = true, revision = 0))
+                }
+            }
+            assertEquals(0, calls)
+            read(record(2, a))
+            repeat(100) { if (tick(100).reads() > 0) calls += 1.also { read(record(2, a)) } }
+            assertTrue(calls in 5..9, "$calls reads in 10 s")
+        }
+    }
+
+    @Nested
+    inner class Join {
+        /** Guards against two first generations, and a lease before the write is known to have taken effect. */
+        @Test
+        fun `creates the first generation and settles a lost answer by reading`() {
+            val write = assertIs<MembershipEffect.WriteStore>(read(null).single())
+            assertEquals(0, write.expectedVersion)
+            membership.storeWritten(clock.nanos(), WriteOutcome.Unknown)
+            assertFalse(valid())
+            assertEquals(1, tick(500).reads())
+            read(write.record)
+            assertTrue(valid())
+        }
+
+        /** Guards against taking rights from a process that may still run at another address. */
+        @Test
+        fun `replaces an older incarnation only at the same address`() {
+            val next = Membership(Member(a.member.instance, 2), DataCentreId("dc"), a.peerAddress, seed = 1)
+            val written = next.storeRead(0, 0, record(3, a, b), 3).written().single()
+            assertEquals(listOf(2L, 1L), written.generation.members.map { it.member.incarnation })
+            val moved = Membership(Member(a.member.instance, 2), DataCentreId("dc"), "elsewhere:1", seed = 1)
+            assertEquals(emptyList(), moved.storeRead(0, 0, record(3, a, b), 3).written())
+        }
+
+        /** Guards against an old process that adds itself again after its successor has started. */
+        @Test
+        fun `an older incarnation never joins`() {
+            val effects = read(record(3, entry("a", incarnation = 2), b))
+            assertTrue(effects.any { it is MembershipEffect.Superseded })
+            assertEquals(emptyList(), effects.written() + tick(20_000).written())
+        }
+    }
+
+    @Nested
+    inner class Promise {
+        private fun beat(number: Long) = receive(b, Heartbeat(number, 9, 0)).sent(b).filterIsInstance<Acknowledgement>()
+
+        /** Guards against a quorum that forms after the promises were collected. */
+        @Test
+        fun `refuses the member in this generation only`() {
+            read(record(1, a, b, c))
+            assertEquals(emptyList(), receive(c, RemovalRequest(1, b.member)).sent(c), "b was not silent yet")
+            tick(2_500)
+            assertEquals(
+                listOf<MembershipMessage>(RemovalPromise(1, b.member)),
+                receive(c, RemovalRequest(1, b.member)).sent(c),
+            )
+            assertFalse(beat(1).single().granted)
+            receive(c, GenerationNotice(record(2, a, b, c), 2))
+            assertEquals(emptyList(), beat(1))
+            assertTrue(beat(2).single().granted)
+        }
+
+        /** Guards against promises of another generation that are counted for a removal. */
+        @Test
+        fun `removal needs promises of this generation`() {
+            val five = arrayOf(a, b, c, entry("d"), entry("e"))
+            read(record(1, *five))
+            fun step(): List<MembershipEffect> = five.drop(2).flatMap { receive(it, Heartbeat(1, 1, 0)) } + tick(500)
+            repeat(10) { step() }
+            receive(c, RemovalPromise(0, b.member))
+            assertEquals(emptyList(), step().written())
+            receive(c, RemovalPromise(1, b.member))
+            val marked = step().written().single().generation.members.filter { it.state == MemberState.LEAVING }
+            assertEquals(listOf(b.member), marked.map { it.member })
+        }
+
+        /** Guards against witnesses of an earlier generation that go on renewing a lease nobody asked them about. */
+        @Test
+        fun `removal needs the witnesses of each generation that the member may act on`() {
+            val joined = MembershipChange(2, joined = listOf(a))
+            val history = record(2, a, b, c).copy(history = listOf(joined))
+            read(history)
+            receive(c, Heartbeat(1, 1, 0))
+            assertEquals(emptyList(), tick(12_000).written(), "b may act on generation 1 with witness c")
+            receive(c, RemovalPromise(2, b.member))
+            assertEquals(
+                listOf(b.member),
+                tick(500).written().single().generation.members
+                    .filter { it.state == MemberState.LEAVING }.map { it.member },
+            )
+        }
+
+        /** Guards against an operator's statement that has no effect, and a removal without the wait. */
+        @Test
+        fun `an operator's statement replaces promises but not the wait`() {
+            read(record(1, a, b))
+            val mark = membership.gone(clock.nanos(), b.member.instance).written().single()
+            assertEquals(MemberState.LEAVING, mark.generation.members.last().state)
+            membership.storeWritten(clock.nanos(), WriteOutcome.Applied(2))
+            assertEquals(emptyList(), tick(3_100).written())
+            assertEquals(listOf(a), tick(1_500).written().single().generation.members)
+        }
+    }
+
+    @Nested
+    inner class Notice {
+        /** Guards against a member that stays behind, and against a generation that goes back. */
+        @Test
+        fun `brings members up to date and never back`() {
+            read(record(5, a, b))
+            assertEquals(5, assertIs<GenerationNotice>(receive(b, Heartbeat(4, 1, 0)).sent(b).single()).generation)
+            assertFalse(assertIs<Acknowledgement>(receive(b, Heartbeat(6, 1, 0)).sent(b).single()).granted)
+            receive(b, GenerationNotice(record(4, a, b, c), 4))
+            assertEquals(5, membership.generation?.number)
+        }
+
+        /** Guards against configuration changes that are not noticed. */
+        @Test
+        fun `reports newer configuration revisions`() {
+            read(record(1, a, b))
+            membership.configured(3)
+            assertNull(receive(b, Heartbeat(1, 1, 3)).firstOrNull { it is MembershipEffect.RevisionSeen })
+            val seen = receive(b, Heartbeat(1, 2, 4)).firstOrNull { it is MembershipEffect.RevisionSeen }
+            assertEquals(MembershipEffect.RevisionSeen(b.member, 4), seen)
+        }
+    }
+}
