--- a/core/src/test/kotlin/io/camphordrum/core/fleet/FaultMatrixTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/fleet/FaultMatrixTest.kt
@@ -62,7 +62,10 @@
         val callers = live.map { fleet.complete(it, "a1", "large-key") }
         fleet.run(20 * SECOND)
         val failed = callers.filter { it.answers.singleOrNull() !is CoreEffect.Answer }.map { it.node to it.answers }
-        assertTrue(failed.isEmpty(), "expected answers from all daemons, seed ${fleet.seed}: $failed; ${fleet.states()}")
+        assertTrue(
+            failed.isEmpty(),
+            "expected answers from all daemons, seed ${fleet.seed}: $failed; ${fleet.states()}",
+        )
     }
 
     private companion object {
--- a/core/src/test/kotlin/io/camphordrum/core/fleet/Fleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/fleet/Fleet.kt
@@ -159,7 +159,8 @@
 
     private fun send(node: Node, work: Work, key: String?, idempotencyKey: String?, deadlineMillis: Long?): Caller {
         val hash = key?.let(::keyHash)
-        val request = CallerRequest(++nextRequest, hash, work, now, deadlineMillis, idempotencyKey, work.hashCode().toLong())
+        val request =
+            CallerRequest(++nextRequest, hash, work, now, deadlineMillis, idempotencyKey, work.hashCode().toLong())
         val caller = Caller(request, node.name, now)
         callers[request.id] = caller
         node.decide { core, at -> core.arrive(at, request) }
--- a/core/src/test/kotlin/io/camphordrum/core/fleet/FleetSetup.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/fleet/FleetSetup.kt
@@ -67,6 +67,14 @@
 /** Fails with every violated invariant. */
 fun Fleet.assertInvariants() {
     val accounts = standardLimits.keys.associateBy { keyHash("$it-key") }
-    val violations = Invariants(this).violations(standardLimits) { hash -> if (hash == null) "small" else accounts[hash] }
+    val violations = Invariants(this).violations(standardLimits) { hash ->
+        if (hash ==
+            null
+        ) {
+            "small"
+        } else {
+            accounts[hash]
+        }
+    }
     assertEquals(emptyList(), violations, "seed $seed")
 }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/PlatformPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/PlatformPlugin.kt
@@ -47,7 +47,9 @@
         objects = CoreObjects(kernel, store)
         watches = listOf(
             watch(CONFIG_ROOT, { rootWatcher }) { kernel.decide { core, now -> core.loadConfiguration(now) } },
-            watch(MEMBERSHIP, { true }) { names -> names.forEach { objects.readMembership(it.removePrefix(MEMBERSHIP)) } },
+            watch(MEMBERSHIP, {
+                true
+            }) { names -> names.forEach { objects.readMembership(it.removePrefix(MEMBERSHIP)) } },
             watch(ALLOTMENTS, { coordinator }) { objects.run(CoreEffect.ReadAllotments) },
         )
         duty = DutyThread("platform", RING_SLOTS, TICK_NANOS, ::tick)
