--- a/core/src/test/kotlin/io/camphordrum/core/limits/Fleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/limits/Fleet.kt
@@ -47,6 +47,7 @@
     var lostAnswerPercent = 0
     var storeDown = false
     val generations = HashMap<DataCentreId, Generation>()
+    private val returning = HashMap<Node, Long>()
     private val removable = HashMap<Member, Long>()
     private val packets = mutableListOf<Packet>()
     private var record: AllotmentRecord? = null
@@ -78,10 +79,10 @@
         grant.node.holder.settle(now, grant.account, grant.charged, used, grant.at)
     }
 
-    fun run(nanos: Long, each: () -> Unit = {}) {
+    fun run(nanos: Long, step: Long = 5 * MILLIS, each: () -> Unit = {}) {
         val end = now + nanos
         while (now < end) {
-            clock.advance(5 * MILLIS)
+            clock.advance(step)
             deliver()
             renew()
             for (node in nodes) if (isRunning(node)) execute(node, node.holder.tick(now))
@@ -117,10 +118,20 @@
         publish(node.centre, others + entry(node, MemberState.LIVE), coordinator(node.centre, null))
     }
 
+    /** Starts an instance with a new name; nothing proves that any other process has ended. */
+    fun start(centre: DataCentreId) = join(add(Member(InstanceId("${centre.name}-${nodes.size + 1}"), 1), centre))
+
     fun kill(node: Node) {
         node.dead = true
     }
 
+    /** Cuts [node] off or pauses it, has it removed, and lets it rejoin later with its memory intact. */
+    fun absent(node: Node, nanos: Long, paused: Boolean) {
+        if (paused) node.pausedUntil = now + nanos else node.isolated = true
+        remove(node)
+        returning[node] = now + nanos
+    }
+
     fun isMember(node: Node): Boolean = generations.getValue(node.centre).members.any { it.member == node.member }
 
     /** Returns by how many nano-tokens the worst window exceeded burst + rate * T; at most 0 if none did. */
@@ -185,6 +196,15 @@
                 node.leaseUntil = now + 2_850 * MILLIS
             }
         }
+        finishRemovals()
+    }
+
+    private fun finishRemovals() {
+        for (node in returning.filterValues { it <= now }.keys) {
+            returning.remove(node)
+            node.isolated = false
+            if (!node.dead && !isMember(node)) join(node)
+        }
         for ((member, at) in removable.toMap()) {
             if (now < at) continue
             removable.remove(member)
--- a/core/src/test/kotlin/io/camphordrum/core/limits/ShareHolderTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/limits/ShareHolderTest.kt
@@ -164,6 +164,70 @@
         }
     }
 
+    @Nested
+    inner class Settlement {
+        private fun Fleet.held() = nodes.filter { !it.dead && isMember(it) }.sumOf { it.holder.parts(account) }
+
+        @Test
+        fun `reserves all floors when no member knows who was removed`() {
+            val fleet = fleet(centres = mapOf("a" to 2))
+            fleet.run(2 * SECONDS)
+            val (cut, last) = fleet.nodes.toList()
+            cut.isolated = true
+            fleet.remove(cut)
+            fleet.run(5 * SECONDS)
+            assertEquals(900_000, fleet.held())
+            // The only member that knows of the floor dies before the new one is told.
+            fleet.kill(last)
+            fleet.start(cut.centre)
+            fleet.remove(last)
+            fleet.run(5 * SECONDS)
+            assertEquals(800_000, fleet.held())
+            fleet.run(25 * SECONDS)
+            assertEquals(AllotmentRecord.PARTS, fleet.held())
+        }
+
+        @Test
+        fun `frees the floor of a process that was replaced under its name`() {
+            val fleet = fleet()
+            fleet.run(2 * SECONDS)
+            fleet.restart(fleet.node("a-1"))
+            fleet.run(2 * SECONDS)
+            assertEquals(AllotmentRecord.PARTS, fleet.held())
+        }
+
+        @Test
+        fun `waits for a late acknowledgement`() {
+            val fleet = fleet()
+            fleet.run(2 * SECONDS)
+            val late = fleet.nodes.first { it.member != fleet.generations.getValue(it.centre).coordinator }
+            late.pausedUntil = fleet.now + 2 * SECONDS
+            val next = fleet.restart(fleet.nodes.first { it != late })
+            fleet.run(1 * SECONDS)
+            assertEquals(0, next.holder.parts(account))
+            fleet.run(3 * SECONDS)
+            assertEquals(AllotmentRecord.PARTS, fleet.held())
+        }
+
+        @Test
+        fun `is completed by the next coordinator when the first dies before handing out`() {
+            val fleet = fleet()
+            fleet.run(2 * SECONDS)
+            val dead = fleet.node("a-1")
+            fleet.kill(dead)
+            fleet.remove(dead)
+            fleet.run(1 * SECONDS)
+            val coordinator = fleet.generations.getValue(dead.centre).coordinator
+            val second = fleet.nodes.first { it.member == coordinator }
+            fleet.kill(second)
+            fleet.remove(second)
+            fleet.run(8 * SECONDS)
+            assertEquals(950_000, fleet.held())
+            fleet.run(25 * SECONDS)
+            assertEquals(AllotmentRecord.PARTS, fleet.held())
+        }
+    }
+
     @Nested
     inner class Release {
         @Test
