Add the reference page, and checks that breaking the code went past

Also adds docs/tree-reference.md, printed by `camphordrum reference` and held against the code by a test, the statement that an instance is gone, paths with slashes around them, and a weight of records by the length of their texts.

--- a/core/src/main/kotlin/io/camphordrum/core/config/TreeChunks.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/TreeChunks.kt
@@ -85,10 +85,15 @@
     is Edit.Remove -> edit.path.length
 }
 
-internal fun recordWeight(record: ChangeRecord): Int =
-    RECORD_BYTES + record.change.edits.sumOf(::editWeight) + record.undo.sumOf(::editWeight)
+internal fun recordWeight(record: ChangeRecord): Int {
+    val texts = record.change.id.length + record.change.who.length + record.change.why.length
+    return RECORD_BYTES + texts * ESCAPED_BYTES + record.change.edits.sumOf(::editWeight) +
+        record.undo.sumOf(::editWeight)
+}
 
 private const val EDIT_BYTES = 60
 
-// Identifier, who and why at their longest, in UTF-8.
-private const val RECORD_BYTES = 8_000
+private const val RECORD_BYTES = 200
+
+// The longest form of one character in JSON.
+private const val ESCAPED_BYTES = 6
--- a/core/src/main/kotlin/io/camphordrum/core/config/TreePath.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/TreePath.kt
@@ -25,6 +25,12 @@
     }
 
     public companion object {
+        /** Parses what an operator types: like [parse], but a branch may have slashes around it; `/` is the root. */
+        public fun ofInput(text: String): TreePath {
+            val place = parse(text.trimStart('/'))
+            return if (place.section == null) TreePath(place.branch.trimEnd('/'), null) else place
+        }
+
         /** Parses [text]; the first segment that is a section's name ends the branch. Every text has a path. */
         public fun parse(text: String): TreePath {
             var start = 0
--- a/core/src/test/kotlin/io/camphordrum/core/config/ConfigSpreadTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/config/ConfigSpreadTest.kt
@@ -39,6 +39,22 @@
             assertEquals(setOf(1L), network.spreads.values.map { it.tree.revision }.toSet())
         }
 
+        @Test
+        fun `a data centre that is cut off catches up when it is joined again`() {
+            val (tree, record) = record(Tree.empty(), put("accounts/demo", Account(1, 1)))
+            network.cut = { it.from.instance.name[0] != it.to.instance.name[0] }
+            network.install(start, tree, listOf(record))
+            network.flying.clear()
+            network.calm(ticks = 100)
+            fun revisions() = network.centres.values.map { centre ->
+                centre.map { network.spreads.getValue(it).tree.revision }.toSet()
+            }
+            assertEquals(listOf(setOf(1L), setOf(0L)), revisions())
+            network.cut = { false }
+            network.calm(ticks = 100)
+            assertEquals(listOf(setOf(1L), setOf(1L)), revisions())
+        }
+
         @Test
         fun `nothing is resent while nothing changes`() {
             network.calm(ticks = 100)
@@ -135,6 +151,8 @@
             // A watcher that skipped revisions knows no records that lead from its own.
             disturbed.install(watcher, tree, if (random.nextBoolean()) records.drop(known) else emptyList())
             repeat(random.nextInt(40)) { disturbed.disturb() }
+            // A read of the platform that ends late brings a revision that was overtaken.
+            disturbed.install(disturbed.spreads.keys.random(random), trees.random(random), emptyList())
         }
         disturbed.calm(ticks = 150)
         for ((member, spread) in disturbed.spreads) {
@@ -143,5 +161,6 @@
             assertEquals(revisions.sorted().distinct(), revisions, "$member")
         }
         assertEquals(emptyList(), disturbed.faults)
+        assertEquals(emptyList(), disturbed.reverted)
     }
 }
--- a/core/src/test/kotlin/io/camphordrum/core/config/ConfigStorePropertiesTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/config/ConfigStorePropertiesTest.kt
@@ -36,6 +36,7 @@
                 random.nextInt(10) == 0 -> submit(run)
                 random.nextInt(20) == 0 -> run.take(run.store.load(now))
                 random.nextInt(20) == 0 -> objects.arrive(random)
+                random.nextInt(20) == 0 -> run.take(run.store.adopt(now, runs.random(random).store.tree))
                 run.open.isNotEmpty() -> run.step(now, random.nextInt(run.open.size))
                 else -> run.take(run.store.tick(now))
             }
--- a/core/src/test/kotlin/io/camphordrum/core/config/FakeObjects.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/config/FakeObjects.kt
@@ -59,7 +59,11 @@
     var history: List<ChangeRecord>? = null
     val open = ArrayList<StoreEffect>()
 
+    private var highest = 0L
+
     fun take(effects: List<StoreEffect>) {
+        check(store.tree.revision >= highest) { "expected at least $highest, but was ${store.tree.revision}" }
+        highest = store.tree.revision
         for (effect in effects) {
             when (effect) {
                 is StoreEffect.ReadObject, is StoreEffect.WriteObject -> open += effect
--- a/core/src/test/kotlin/io/camphordrum/core/config/SpreadNetwork.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/config/SpreadNetwork.kt
@@ -24,6 +24,8 @@
         members.map { it to ConfigSpread(it, centre, Json, options, random.nextLong()).apply { peers(centres) } }
     }.toMap()
     val installed = spreads.keys.associateWith { mutableListOf<Long>() }
+    private val highest = HashMap<Member, Long>()
+    val reverted = ArrayList<String>()
     val faults = ArrayList<SpreadEffect.Unreadable>()
     val flying = ArrayList<Message>()
     var cut: (Message) -> Boolean = { false }
@@ -32,6 +34,9 @@
     var now = 0L
 
     fun take(from: Member, effects: List<SpreadEffect>) {
+        val revision = spreads.getValue(from).tree.revision
+        val before = highest.put(from, revision) ?: 0
+        if (revision < before) reverted += "$from from $before to $revision"
         for (effect in effects) {
             when (effect) {
                 is SpreadEffect.Send -> {
--- a/core/src/test/kotlin/io/camphordrum/core/config/TreePropertiesTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/config/TreePropertiesTest.kt
@@ -50,13 +50,16 @@
     fun `one edit rewrites at most a few chunks and no chunk is too large`(@ForAll seed: Long) {
         val random = Random(seed)
         val many = (0 until 6_000).map { put("w/adapters/m$it", adapter(1 + random.nextInt(50))) }
-        val large = (0 until 9).map { put("w/adapters/l$it", Adapter(adapter(1).base, 1, (1..1_000).toList())) }
+        val versions = (1_000_000_000..1_000_000_999).toList()
+        val large = (0 until 200).map { put("w/adapters/l$it", Adapter(adapter(1).base, versions[0], versions)) }
         val tree = Tree.empty().with(*(many + large).toTypedArray())
         val chunks = TreeChunks(Json)
         val known = chunks.addresses(tree).toSet()
-        val next = tree.with(put("w/adapters/m${random.nextInt(7_000)}", adapter(99)))
-        assertTrue(chunks.encode(next, known).size in 1..3)
-        assertTrue(chunks.encode(next, emptySet()).values.all { it.toByteArray().size <= 256 * 1_024 })
+        val path = "w/adapters/m${random.nextInt(6_000)}"
+        for (edit in listOf(put(path, adapter(99)), put("$path-new", adapter(1)), Edit.Remove(path))) {
+            assertTrue(chunks.encode(tree.with(edit), known).size <= 3, "$edit")
+        }
+        assertTrue(chunks.encode(tree, emptySet()).values.all { it.toByteArray().size <= 256 * 1_024 })
     }
 
     /** Guards against lost keys and wrong counts at page borders. */
--- a/ctl/src/main/kotlin/io/camphordrum/ctl/DrainCommands.kt
+++ b/ctl/src/main/kotlin/io/camphordrum/ctl/DrainCommands.kt
@@ -8,6 +8,8 @@
 import io.camphordrum.core.config.Tree
 import io.camphordrum.core.config.TreePath
 import kotlinx.cli.ArgType
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
 
 /** Takes a data centre out of service, or brings it back. */
 class DataCentreCommand(private val state: DataCentreState, session: Session) :
@@ -40,4 +42,18 @@
     }
 }
 
+/** States that an instance has ended for good; a wrong statement may give its rights away while it still runs. */
+class InstanceGoneCommand(session: Session) :
+    Command("gone", "State that an instance has ended for good", session) {
+    private val id by argument(ArgType.String, "NAME", "Name of the instance")
+
+    override fun run(): ExitCode = when (val result = client.gone(id)) {
+        is ClientResult.Success -> {
+            console.answer(buildJsonObject { put("gone", id) }) { "instance $id is stated to be gone" }
+            ExitCode.DONE
+        }
+        else -> failed(result)
+    }
+}
+
 private fun verb(drain: Boolean): String = if (drain) "Drain" else "Return"
--- a/ctl/src/main/kotlin/io/camphordrum/ctl/Main.kt
+++ b/ctl/src/main/kotlin/io/camphordrum/ctl/Main.kt
@@ -26,6 +26,18 @@
         RollbackCommand(session),
         StatusCommand(session),
         ExplainCommand(session),
+        ReferenceCommand(session),
+        *entryGroups(session),
+        *steeringGroups(session),
+    )
+    if (args.isEmpty()) return session.console.fault(ExitCode.USAGE, "expected a command; see camphordrum --help")
+    parser.parse(args)
+    return session.exit
+}
+
+@OptIn(ExperimentalCli::class)
+private fun entryGroups(session: Session): Array<Subcommand> =
+    arrayOf(
         Group(
             "key",
             "Issue, withdraw and list keys",
@@ -59,6 +71,11 @@
             RemoveCommand(Section.ROUTES, "route", session),
             ListCommand(Section.ROUTES, "routes", session),
         ),
+    )
+
+@OptIn(ExperimentalCli::class)
+private fun steeringGroups(session: Session): Array<Subcommand> =
+    arrayOf(
         Group(
             "drain",
             "Take a data centre or an endpoint out of service",
@@ -73,11 +90,13 @@
             DataCentreCommand(DataCentreState.SERVING, session),
             EndpointCommand(false, session),
         ),
+        Group(
+            "instance",
+            "State what happened to an instance",
+            session,
+            InstanceGoneCommand(session),
+        ),
     )
-    if (args.isEmpty()) return session.console.fault(ExitCode.USAGE, "expected a command; see camphordrum --help")
-    parser.parse(args)
-    return session.exit
-}
 
 @OptIn(ExperimentalCli::class)
 private class Group(name: String, description: String, private val session: Session, vararg commands: Subcommand) :
--- a/ctl/src/main/kotlin/io/camphordrum/ctl/OperatorClient.kt
+++ b/ctl/src/main/kotlin/io/camphordrum/ctl/OperatorClient.kt
@@ -42,6 +42,14 @@
     fun explain(path: String): ClientResult<Explanation> =
         get("/v1/explain?${QueryParams.of("path", path).toQueryString()}", Explanation.serializer())
 
+    /** States that the instance called [name] has ended for good, so that its rights may be taken away. */
+    fun gone(name: String): ClientResult<JsonObject> = try {
+        val path = "/v1/gone?${QueryParams.of("instance", name).toQueryString()}"
+        decode(client.blocking().execute(HttpRequest.of(HttpMethod.POST, path)), JsonObject.serializer())
+    } catch (e: Exception) {
+        ClientResult.Unavailable("$server: ${rootMessage(e)}")
+    }
+
     /** Submits [change] and returns its revision; a lost answer is settled by sending the same change again. */
     fun submit(change: Change): ClientResult<Long> {
         var lost: ClientResult<Long> = ClientResult.Unknown("no answer")
--- a/ctl/src/test/kotlin/io/camphordrum/ctl/CommandsTest.kt
+++ b/ctl/src/test/kotlin/io/camphordrum/ctl/CommandsTest.kt
@@ -262,6 +262,18 @@
             assertEquals(ExitCode.USAGE, run("rollback", "9"))
         }
 
+        @Test
+        fun `the reference page is that of the code`() {
+            assertEquals(ExitCode.DONE, run("reference"))
+            assertEquals(Files.readString(Path.of("../docs/tree-reference.md")).trim(), out)
+        }
+
+        @Test
+        fun `an instance is stated to be gone`() {
+            assertEquals(ExitCode.DONE, run("instance", "gone", "edge-a1"), err)
+            assertEquals(listOf("edge-a1"), daemon.gone)
+        }
+
         @Test
         fun `what is in force can be read`() {
             run("apply", "$example")
--- a/ctl/src/test/kotlin/io/camphordrum/ctl/FakeDaemon.kt
+++ b/ctl/src/test/kotlin/io/camphordrum/ctl/FakeDaemon.kt
@@ -29,6 +29,7 @@
     @Volatile
     var before: (() -> Unit)? = null
     val bodies = CopyOnWriteArrayList<String>()
+    val gone = CopyOnWriteArrayList<String>()
     val records = CopyOnWriteArrayList<ChangeRecord>()
 
     private val server = Server.builder()
@@ -43,6 +44,7 @@
             json(Json.encodeToString(ListSerializer(ChangeRecord.serializer()), records.reversed().take(limit)))
         }
         .service("/v1/status") { _, _ -> json("""{"instance":"edge-a1","revision":${tree.revision}}""") }
+        .service("/v1/gone") { context, _ -> json("{}").also { gone += context.queryParam("instance")!! } }
         .service("/v1/explain") { context, _ ->
             json(Json.encodeToString(Explanation.serializer(), tree.explain(context.queryParam("path")!!)))
         }
