--- a/wire/src/main/kotlin/io/camphordrum/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/io/camphordrum/wire/PeerNetwork.kt
@@ -10,6 +10,7 @@
 import io.ktor.network.sockets.toJavaAddress
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExecutorCoroutineDispatcher
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
@@ -34,6 +35,10 @@
  * network.send("127.0.0.1:8102", PeerMessage.Membership(heartbeat))
  * ```
  *
+ * There is one outgoing connection for each address; it carries messages of this daemon only, and is made again with
+ * back-off until [forget]. An address that belongs to no member any more should be forgotten, because their number is
+ * limited. A peer is known by what its hello says; nothing proves it.
+ *
  * Everything but the wait for socket readiness runs on one thread named `peers`. That wait has a thread of its own,
  * `peers-selector`, because Ktor's selector blocks its thread and would delay messages that are ready to be sent.
  */
@@ -43,6 +48,8 @@
     private val settings: PeerSettings,
     private val events: PeerEvents,
 ) {
+    private class Link(val queue: PeerQueue, val job: Job)
+
     private class Running(val port: Int, val selector: SelectorManager, val server: ServerSocket)
 
     private val dispatcher = singleThread("peers")
@@ -51,7 +58,7 @@
     private val frames = Frames(settings.maxFrameBytes)
     private val registry = PeerRegistry(events, maxInstances = 8 * settings.maxPeers)
     private val random = Random(settings.seed)
-    private val queues = ConcurrentHashMap<String, PeerQueue>()
+    private val links = ConcurrentHashMap<String, Link>()
     private val dropped = AtomicLong()
     private var accepted = 0
 
@@ -75,8 +82,13 @@
     /** Queues [message] for the peer at [address] (`host:port`); returns false when it cannot be accepted. */
     public fun send(address: String, message: PeerMessage): Boolean {
         val running = running ?: return false
-        val queue = queues[address] ?: connect(address, running) ?: return false
-        return queue.offer(message)
+        val link = links[address] ?: connect(address, running) ?: return false
+        return link.queue.offer(message)
+    }
+
+    /** Ends the connection to [address] and drops what waits for it; a later [send] connects again. */
+    public fun forget(address: String) {
+        links.remove(address)?.job?.cancel()
     }
 
     /** Closes all connections and ends the threads; queued messages are lost. */
@@ -92,15 +104,15 @@
         dispatcher.close()
     }
 
-    private fun connect(address: String, running: Running): PeerQueue? {
+    private fun connect(address: String, running: Running): Link? {
         val colon = address.lastIndexOf(':')
         val port = address.substring(colon + 1).toIntOrNull() ?: return null
-        if (colon <= 0 || port !in 1..MAX_PORT || queues.size >= settings.maxPeers) return null
-        val queue = PeerQueue(settings.queueSlots, dropped)
-        val known = queues.putIfAbsent(address, queue)
-        if (known != null) return known
-        scope.launch { keepConnected(address, InetSocketAddress(address.substring(0, colon), port), queue, running) }
-        return queue
+        if (colon <= 0 || port !in 1..MAX_PORT || links.size >= settings.maxPeers) return null
+        val remote = InetSocketAddress(address.substring(0, colon), port)
+        return links.computeIfAbsent(address) {
+            val queue = PeerQueue(settings.queueSlots, dropped)
+            Link(queue, scope.launch { keepConnected(address, remote, queue, running) })
+        }
     }
 
     private suspend fun acceptAll(server: ServerSocket) {
@@ -152,7 +164,12 @@
 
     /** Runs one connection to its end, and returns whether hellos were exchanged. */
     private suspend fun converse(socket: Socket, remote: String, queue: PeerQueue?): Boolean {
-        val hello = Hello(Hello.PROTOCOL_VERSION, self, dataCentre, "${settings.host}:${running?.port}")
+        val hello = Hello(
+            Hello.PROTOCOL_VERSION,
+            self,
+            dataCentre,
+            settings.advertised ?: "${settings.host}:${running?.port}",
+        )
         val connection = PeerConnection(socket, remote, hello, settings, frames, registry, events)
         var peer: Hello? = null
         var reason = "stopped"
--- a/wire/src/main/kotlin/io/camphordrum/wire/PeerSettings.kt
+++ b/wire/src/main/kotlin/io/camphordrum/wire/PeerSettings.kt
@@ -10,6 +10,7 @@
  * @property helloTimeoutMillis how long a new connection may take until its hello has arrived.
  * @property backOffMillis first wait before a reconnect; it doubles up to [maxBackOffMillis], with jitter.
  * @property seed seeds the jitter.
+ * @property advertised `host:port` that the hello names; null names the host and port listened on.
  */
 public data class PeerSettings(
     public val host: String = "127.0.0.1",
@@ -21,4 +22,5 @@
     public val backOffMillis: Long = 50,
     public val maxBackOffMillis: Long = 5_000,
     public val seed: Long = 0,
+    public val advertised: String? = null,
 )
