--- /dev/null
+++ b/daemon/src/test/kotlin/io/camphordrum/daemon/SettingsTest.kt
@@ -0,0 +1,57 @@
+package io.camphordrum.daemon
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+/** Guards the settings file: a mistake must name its place, what was expected and what came. */
+class SettingsTest {
+    private val valid = """
+        {
+          // comments are allowed
+          "instance": "edge-1", "dataCentre": "a",
+          "callers": { "port": 8081 }, "operators": { "port": 8091 }, "peers": { "port": 8101 },
+          "platformUrl": "http://127.0.0.1:9000", "keySecret": "long enough",
+        }
+    """.trimIndent()
+
+    private fun fault(text: String) = assertIs<SettingsResult.Invalid>(Settings.parse(text, "edge.json")).message
+
+    @Nested
+    inner class Valid {
+        @Test
+        fun `comments and trailing commas are accepted`() {
+            val settings = assertIs<SettingsResult.Valid>(Settings.parse(valid, "edge.json")).settings
+            assertEquals("edge-1", settings.instance)
+        }
+    }
+
+    @Nested
+    inner class Invalid {
+        @Test
+        fun `an unknown field names the file and the line`() {
+            val message = fault(valid.replace("\"instance\"", "\"instnace\": 1, \"instance\""))
+            assertContains(message, "edge.json: line 3")
+            assertContains(message, "instnace")
+        }
+
+        @Test
+        fun `a port out of range names the field and the value`() {
+            assertContains(fault(valid.replace("8101", "70000")), "peers.port: expected 1 to 65535, but was 70000")
+        }
+
+        @Test
+        fun `a short key secret is refused without showing it`() {
+            val message = fault(valid.replace("long enough", "short"))
+            assertContains(message, "keySecret: expected at least 8 characters, but was 5")
+        }
+
+        @Test
+        fun `a missing file is one message`() {
+            val result = Settings.read(java.nio.file.Path.of("does-not-exist.json"))
+            assertContains(assertIs<SettingsResult.Invalid>(result).message, "does-not-exist.json")
+        }
+    }
+}
