Bound the object allotments and the messages of accounts over their limit

Cause: with thousands of moved accounts the object could outgrow the platform's value size of a megabyte, and an account that stays over its limit made its members ask every 100 ms. A coordinator that led two generations in a row with a write open waited up to a second before its claim.

Change: a data centre lists at most 1,024 accounts; others keep their default. Members back off up to 0.8 s while asks bring too little. An answer to an older generation's write is followed by a read at once.

Conclusion: bounded.

--- a/core/src/main/kotlin/io/camphordrum/core/limits/Allotments.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/Allotments.kt
@@ -85,7 +85,11 @@
             val step = if (keep) old else (parts / WANTED_STEP + if (parts > 0) 2 else 0) * WANTED_STEP
             if (step > 0) steps[account] = minOf(step, AllotmentRecord.PARTS)
         }
-        this.wanted = steps
+        this.wanted = if (steps.size <= MAX_LISTED) {
+            steps
+        } else {
+            steps.entries.sortedByDescending { it.value }.take(MAX_LISTED).associate { it.key to it.value }
+        }
     }
 
     /** Returns what other data centres lack and this one can spare, at most one receiver for each account. */
@@ -95,6 +99,7 @@
         for ((other, entry) in current.dataCentres) {
             if (other == dataCentre) continue
             for ((account, wants) in entry.wanted) {
+                if (!canList(current, dataCentre, account) || !canList(current, other, account)) continue
                 val lacks = wants - current.parts(other, account)
                 val spare = current.parts(dataCentre, account) - kept(current, account)
                 val move = minOf(lacks, spare)
@@ -140,7 +145,8 @@
     public fun written(now: Long, outcome: AllotmentOutcome): List<AllotmentEffect> {
         awaitingOutcome = false
         version = null
-        val open = attempt ?: return emptyList()
+        // Without an attempt the write belonged to an older generation of this coordinator.
+        val open = attempt ?: return if (generation == null) emptyList() else read(now)
         if (outcome == AllotmentOutcome.APPLIED) {
             newestVersion = maxOf(newestVersion, open.expectedVersion + 1)
             applied(open)
@@ -205,6 +211,11 @@
         return Attempt(current.copy(dataCentres = entries), expected, fresh = entry == null)
     }
 
+    private fun canList(current: AllotmentRecord, of: DataCentreId, account: AccountId): Boolean {
+        val listed = current.dataCentres[of]?.parts.orEmpty()
+        return account in listed || listed.size < MAX_LISTED
+    }
+
     private fun write(now: Long, open: Attempt): List<AllotmentEffect> {
         attempt = open
         awaitingOutcome = true
@@ -231,5 +242,9 @@
         const val WANTED_STEP = 20_000
         const val KEPT_STEPS = 5
         const val MIN_MOVE = 10_000
+
+        // Accounts that a data centre lists; further accounts keep their default. Keeps the object of six data
+        // centres below the platform's limit of a megabyte.
+        const val MAX_LISTED = 1_024
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/limits/Exchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/Exchange.kt
@@ -36,6 +36,7 @@
         var askedNanoTokens = 0L
         var creditedNanoTokens = 0L
         var dryUntil = Long.MIN_VALUE
+        var dryAskPeriods = DRY_ASK_PERIODS
         var idleSince: Long? = now
     }
 
@@ -122,7 +123,11 @@
             val state = accounts[account] ?: continue
             state.silentSince = null
             if (state.creditedNanoTokens < state.askedNanoTokens) {
-                state.dryUntil = now + DRY_ASK_PERIODS * parameters.askPeriodNanos
+                state.dryUntil = now + state.dryAskPeriods * parameters.askPeriodNanos
+                // An account that stays over its limit asks less and less often.
+                state.dryAskPeriods = minOf(2 * state.dryAskPeriods, MAX_DRY_ASK_PERIODS)
+            } else {
+                state.dryAskPeriods = DRY_ASK_PERIODS
             }
             state.askedNanoTokens = 0
             state.creditedNanoTokens = 0
@@ -291,6 +296,7 @@
         const val MIN_ASK_PARTS = 5_000
         const val MIN_LEVEL_FRACTION = 64
         const val DRY_ASK_PERIODS = 5
+        const val MAX_DRY_ASK_PERIODS = 40
         const val AHEAD_ASK_PERIODS = 10
 
         // A broker without a queue answers within 2 periods.
