--- a/core/src/main/kotlin/io/camphordrum/core/once/ClaimSettings.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/once/ClaimSettings.kt
@@ -9,6 +9,8 @@
  * @property objectBytes estimated size beyond which answers are recorded by their hash only.
  * @property answerBytes largest body that is recorded.
  * @property maxWaiting claims, and separately finished claims, that wait for the store.
+ * @property maxRunning requests that were let proceed and are not finished; further claims are refused.
+ * @property maxKeys known keys of the retention, 8 bytes each; further claims are refused.
  */
 public data class ClaimSettings(
     public val shards: Int = 16,
@@ -19,4 +21,6 @@
     public val objectBytes: Int = 900 * 1024,
     public val answerBytes: Int = 8 * 1024,
     public val maxWaiting: Int = 1_024,
+    public val maxRunning: Int = 4_096,
+    public val maxKeys: Int = 1_000_000,
 )
