Remove an unused property of the share table

Cause: nothing reads the set of accounts of the share table.

Change: removes it.

Conclusion: no change of behaviour.

--- a/core/src/main/kotlin/io/camphordrum/core/limits/ShareTable.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/ShareTable.kt
@@ -13,8 +13,6 @@
     var floorParts = 0
     private var floorUntil = Long.MIN_VALUE
 
-    val accounts: Set<AccountId> get() = buckets.keys
-
     fun configure(now: Long, limits: Map<AccountId, RateLimit>) {
         this.limits = if (limits.size <= parameters.maxAccounts) {
             limits
