Test whole data centres and the health of peers

Cause: peer health had no tests, and no spec showed a data centre while the platform is out, while a member is isolated, or after a crash.

Seen: four members make no store call in 60 s when nothing changes, and keep all leases through 60 s without the platform (simulated time). An isolated member is removed within 15 s and has its lease back within 20 s after it is healed.

Conclusion: leases go on by witnesses without the platform.

--- a/core/src/test/kotlin/io/camphordrum/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/membership/MembershipTest.kt
@@ -236,4 +236,53 @@
             assertEquals(MembershipEffect.RevisionSeen(b.member, 4), seen)
         }
     }
+
+    @Nested
+    inner class DataCentre {
+        private val simulation = MembershipSimulation(4, seed = 5, faults = false).also { it.run(seconds = 20) }
+
+        private fun valid() = simulation.processes.map { it.membership.leaseValid(it.clock()) }
+
+        /** Guards against leases that depend on the platform, and calls that nothing asks for. */
+        @Test
+        fun `keeps all leases without a call to the store, also while the platform is out`() {
+            val calls = simulation.reads + simulation.writes
+            simulation.run(seconds = 60)
+            assertEquals(calls, simulation.reads + simulation.writes)
+            simulation.cutStore(0, 1, 2, 3)
+            simulation.run(seconds = 60)
+            assertEquals(List(4) { true }, valid())
+        }
+
+        /** Guards against an isolated member that goes on, and one that does not come back. */
+        @Test
+        fun `removes an isolated member and takes it back`() {
+            simulation.cut(2)
+            simulation.cutStore(2)
+            simulation.run(seconds = 15)
+            assertEquals(listOf(true, true, false, true), valid())
+            assertEquals(3, simulation.record?.generation?.members?.size)
+            simulation.heal()
+            simulation.run(seconds = 20)
+            assertEquals(List(4) { true }, valid())
+        }
+
+        /** Guards against endpoints that nobody owns after a crash. */
+        @Test
+        fun `removes a killed member and leaves its endpoints to the others`() {
+            simulation.kill(1, restart = false)
+            simulation.run(seconds = 10)
+            for (endpoint in simulation.endpoints) {
+                assertEquals(1, simulation.processes.count { it.membership.holds(it.clock(), endpoint) })
+            }
+        }
+
+        /** Guards against a leave that waits for the others' suspicion. */
+        @Test
+        fun `lets a member leave within a second`() {
+            simulation.act(simulation.processes[3]) { leave(it) }
+            simulation.run(seconds = 1)
+            assertEquals(3, simulation.record?.generation?.members?.size)
+        }
+    }
 }
