Test that the largest generation record fits into a frame

Cause: generation notices carry the whole record, and no test encoded one.

Measured: a record of 256 members and 64 changes takes less than 128 KiB in CBOR and decodes to the same value.

Conclusion: notices stay far below the limit of 1 MB.

--- a/wire/src/main/kotlin/io/camphordrum/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/camphordrum/wire/Frames.kt
@@ -53,7 +53,7 @@
         }
     }
 
-    private fun decode(bytes: ByteArray): PeerMessage = try {
+    fun decode(bytes: ByteArray): PeerMessage = try {
         cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
     } catch (e: SerializationException) {
         throw FrameException("expected a peer message, but the frame cannot be decoded: ${firstLine(e)}")
--- a/wire/src/test/kotlin/io/camphordrum/wire/PeerNetworkTest.kt
+++ b/wire/src/test/kotlin/io/camphordrum/wire/PeerNetworkTest.kt
@@ -1,9 +1,15 @@
 package io.camphordrum.wire
 
 import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.Generation
+import io.camphordrum.core.GenerationMember
 import io.camphordrum.core.InstanceId
 import io.camphordrum.core.Member
+import io.camphordrum.core.MemberState
+import io.camphordrum.core.membership.GenerationNotice
 import io.camphordrum.core.membership.Heartbeat
+import io.camphordrum.core.membership.MembershipChange
+import io.camphordrum.core.membership.MembershipRecord
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import org.junit.jupiter.api.AfterEach
@@ -91,6 +97,18 @@
             assertEquals(b.address, a.up.take().peerAddress)
         }
 
+        /** Guards against a generation that cannot be passed on once a data centre has reached the limits. */
+        @Test
+        fun `carry the largest record of a generation`() {
+            val members =
+                List(256) { GenerationMember(Member(InstanceId("i$it"), 2L shl 40), "h$it:1", MemberState.LIVE) }
+            val history = List(64) { MembershipChange(it + 1L, joined = members.take(4), left = members.takeLast(4)) }
+            val record = MembershipRecord(Generation(DataCentreId("a"), 64, members, members[0].member), history)
+            val notice = PeerMessage.Membership(GenerationNotice(record, version = 9))
+            assertTrue(encode(notice).size < 1 shl 17, "${encode(notice).size} bytes")
+            assertEquals(notice, Frames(1 shl 20).decode(encode(notice)))
+        }
+
         /** Guards against a connection that is never made again, and a peer that stays up after it ended. */
         @Test
         fun `arrive again after the peer restarted`() {
