--- a/core/src/main/kotlin/io/camphordrum/core/config/Snapshot.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/Snapshot.kt
@@ -27,8 +27,11 @@
 
     /** Returns what [model], `name@version` or `name` for the current version, means. */
     public fun resolve(model: String): ModelResolution {
-        val named = tree.models[model]
-        if (named != null) return found(named, AdapterVersion(model, named.adapter.current))
+        // Adapter names have no '@', see checkEntry.
+        if ('@' !in model) {
+            val named = tree.models[model] ?: return ModelResolution.UnknownAdapter
+            return found(named, AdapterVersion(model, named.adapter.current))
+        }
         val asked = AdapterVersion.parse(model) ?: return ModelResolution.UnknownAdapter
         val located = tree.models[asked.adapter] ?: return ModelResolution.UnknownAdapter
         return if (asked.version in located.adapter.versions) found(located, asked) else ModelResolution.UnknownVersion
