Report orders apart from completions

Cause: all orders are refused while the claim ledger has no implementation, and they hid whether completions inside the rate were refused.

Change: refusals inside the rate count completions only; orders have a line of their own; examples differ in their first 80 characters.

--- a/bench/src/main/kotlin/io/camphordrum/bench/AccountResult.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/AccountResult.kt
@@ -24,7 +24,7 @@
 /**
  * Holds what one account got.
  *
- * @property refusedInside requests inside the rate that got no whole answer because they were refused.
+ * @property refusedInside completions inside the rate that got no whole answer because they were refused.
  * @property excessTokens largest excess of admitted tokens over rate x T in any window.
  * @property worstMinute the window with the highest p99; a minute, or a sixth of a shorter run.
  */
@@ -71,7 +71,7 @@
 
     private fun insideRate(): Pair<Int, Int> {
         val bucket = ShadowBucket(spec.tokensPerSecond, spec.burstTokens)
-        val inside = outcomes.filter {
+        val inside = outcomes.filter { it.arrival.adapter != null }.filter {
             bucket.inside(it.arrival.atNanos, it.arrival.chargedTokens, it.ending == Ending.WHOLE)
         }
         return inside.size to inside.count { it.ending in REFUSALS }
--- a/bench/src/main/kotlin/io/camphordrum/bench/Run.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Run.kt
@@ -141,6 +141,8 @@
             seconds = seconds,
             sent = outcomes.size,
             endings = outcomes.groupingBy { it.ending.name.lowercase() }.eachCount().toSortedMap(),
+            orderEndings = outcomes.filter { it.arrival.adapter == null }
+                .groupingBy { it.ending.name.lowercase() }.eachCount().toSortedMap(),
             mustBeZero = mustBeZero(outcomes, after, accounts),
             accounts = accounts,
             stalls = stallsOf(outcomes),
@@ -156,7 +158,7 @@
             happened = happened.map { Happened(it.name, it.beganSeconds, it.endedSeconds, it.fault) },
             roundRobin = baseline,
             addedLatency = added,
-            examples = outcomes.filter { it.ending != Ending.WHOLE }.distinctBy { it.detail.take(40) }
+            examples = outcomes.filter { it.ending != Ending.WHOLE }.distinctBy { it.detail.take(EXAMPLE_CHARACTERS) }
                 .take(MAX_EXAMPLES).map { "${it.ending.name.lowercase()} ${it.arrival.id}: ${it.detail}" },
         )
     }
@@ -169,6 +171,7 @@
         const val COMPARED_CALLS = 400
         const val WARM_UP_CALLS = 100
         const val COMPARED_PAUSE_MILLIS = 5L
+        const val EXAMPLE_CHARACTERS = 80
         const val MAX_EXAMPLES = 20
     }
 }
--- a/bench/src/main/kotlin/io/camphordrum/bench/RunResult.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/RunResult.kt
@@ -62,6 +62,7 @@
     val seconds: Int,
     val sent: Int,
     val endings: Map<String, Int>,
+    val orderEndings: Map<String, Int>,
     val mustBeZero: MustBeZero,
     val accounts: List<AccountResult>,
     val stalls: Int,
