--- a/bench/src/main/kotlin/io/camphordrum/bench/Report.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Report.kt
@@ -17,10 +17,8 @@
 
     private fun markdown(): String = buildString {
         append("# ${result.scenario}, ${result.size}, seed ${result.seed}\n\n")
-        append(
         append("${result.sent} requests in ${result.seconds} s: ${result.endings}; ")
         append("orders among them: ${result.orderEndings}.\n\n")
-        )
         for (event in result.happened) {
             append(
                 "- %.1f s to %.1f s: %s%s\n".format(
