--- a/core/src/main/kotlin/io/camphordrum/core/CoreEffect.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/CoreEffect.kt
@@ -66,6 +66,9 @@
     /** Send a message about residency. */
     public data class SendResidency(override val address: String, public val message: ResidencyMessage) : Send
 
+    /** Close the connection to the peer at [address], which has left. */
+    public data class ForgetPeer(public val address: String) : CoreEffect
+
     /** Effects towards the platform's object store. */
     public sealed interface Store : CoreEffect
 
--- a/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
@@ -11,8 +11,6 @@
 import io.camphordrum.core.config.StoreEffect
 import io.camphordrum.core.config.Tree
 import io.camphordrum.core.limits.Admission
-import io.camphordrum.core.limits.AllotmentEffect
-import io.camphordrum.core.limits.AllotmentOutcome
 import io.camphordrum.core.limits.AllotmentRecord
 import io.camphordrum.core.limits.ShareEffect
 import io.camphordrum.core.limits.ShareHolder
@@ -159,7 +157,7 @@
     ): List<CoreEffect> = collect {
         if (dataCentre == options.dataCentre) {
             members(now, membership.storeRead(now, sentAt, record, version))
-        } else if (record != null && directory.learn(record.generation)) {
+        } else if (record != null && learn(record.generation)) {
             refresh(now)
         }
     }
@@ -177,7 +175,7 @@
         collect { shares?.let { shares(it.allotmentsRead(now, record, version)) } }
 
     /** Takes the end of writing the division of limits. */
-    public fun allotmentsWritten(now: Long, outcome: AllotmentOutcome): List<CoreEffect> =
+    public fun allotmentsWritten(now: Long, outcome: WriteOutcome): List<CoreEffect> =
         collect { shares?.let { shares(it.allotmentsWritten(now, outcome)) } }
 
     /** Takes a shard of claims. */
@@ -200,7 +198,7 @@
     public fun configWritten(
         now: Long,
         request: Long,
-        outcome: io.camphordrum.core.config.WriteOutcome,
+        outcome: WriteOutcome,
     ): List<CoreEffect> =
         collect { config(now, store.objectWritten(now, request, outcome)) }
 
@@ -342,25 +340,26 @@
         }
     }
 
+    // Returns whether the generation is news. Connections to members that are gone are closed.
+    private fun learn(generation: Generation): Boolean {
+        val before = directory.generation(generation.dataCentre)?.members.orEmpty().map { it.peerAddress }
+        if (!directory.learn(generation)) return false
+        for (address in before - generation.members.map { it.peerAddress }.toSet()) {
+            directory.forget(address)
+            out += CoreEffect.ForgetPeer(address)
+        }
+        return true
+    }
+
     private fun generation(now: Long, generation: Generation) {
-        directory.learn(generation)
+        learn(generation)
         out += CoreEffect.GenerationInForce(generation)
         shares?.let { shares(it.onGeneration(now, generation)) }
         refresh(now)
     }
 
     private fun shares(effects: List<ShareEffect>) {
-        for (effect in effects) {
-            when (effect) {
-                is ShareEffect.Send ->
-                    directory.address(effect.to)?.let { out += CoreEffect.SendShare(it, effect.message) }
-                is ShareEffect.Store -> when (val stored = effect.effect) {
-                    AllotmentEffect.ReadAllotments -> out += CoreEffect.ReadAllotments
-                    is AllotmentEffect.WriteAllotments ->
-                        out += CoreEffect.WriteAllotments(stored.record, stored.expectedVersion)
-                }
-            }
-        }
+        for (effect in effects) shareEffect(effect, directory)?.let(out::add)
     }
 
     private fun config(now: Long, effects: List<StoreEffect>) {
@@ -400,23 +399,18 @@
         snapshot = config
         membership.configured(tree.revision)
         val holder = shares ?: newShares(now, config)
-        holder.configure(now, limits(config))
+        holder.configure(now, effectiveLimits(config))
         if (flow == null) flow = newFlow(holder)
         out += CoreEffect.ConfigInForce(config)
         refresh(now)
         withFlowHere { requests(now, it.reconfigured(now)) }
     }
 
-    private fun limits(config: Snapshot): Map<AccountId, RateLimit> =
-        config.limits() + config.loadBudgets().entries.associate { (base, budget) ->
-            loadAccount(base) to RateLimit(budget.loadsPerSecond, budget.inFlight.toLong())
-        }
-
     private fun newShares(now: Long, config: Snapshot): ShareHolder {
         val centres = config.dataCentres().keys.sorted().ifEmpty { listOf(options.dataCentre) }
         val holder = ShareHolder(self, centres, membership::leaseValid)
         shares = holder
-        holder.configure(now, limits(config))
+        holder.configure(now, effectiveLimits(config))
         membership.generation?.let { shares(holder.onGeneration(now, it)) }
         return holder
     }
@@ -474,8 +468,5 @@
 
     private companion object {
         const val MILLI = 1_000_000L
-
-        // Loads of one base model's weight store are limited like the tokens of a client account.
-        fun loadAccount(base: BaseModelId) = AccountId("loads/${base.name}")
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/Directory.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/Directory.kt
@@ -38,6 +38,14 @@
         if (address in addresses.values) down += address
     }
 
+    /** Forgets the members at [address], which have left. */
+    fun forget(address: String) {
+        val gone = addresses.filterValues { it == address }.keys
+        addresses -= gone
+        members -= gone
+        down -= address
+    }
+
     fun address(member: Member): String? = addresses[member.instance]
 
     /** Returns the member that owns [endpoint] according to the newest known generation of its data centre. */
--- a/core/src/main/kotlin/io/camphordrum/core/config/StoreCalls.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/StoreCalls.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.config
 
+import io.camphordrum.core.WriteOutcome
 import kotlin.random.Random
 
 /** Numbers the calls of a [ConfigStore], keeps what follows each answer, and runs what is due later. */
--- a/core/src/main/kotlin/io/camphordrum/core/config/Submission.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/Submission.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.config
 
+import io.camphordrum.core.WriteOutcome
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.StringFormat
 
--- a/core/src/main/kotlin/io/camphordrum/core/limits/Allotments.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/Allotments.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.limits
 
+import io.camphordrum.core.WriteOutcome
 import io.camphordrum.core.AccountId
 import io.camphordrum.core.DataCentreId
 
@@ -142,14 +143,14 @@
     }
 
     /** Handles the outcome of the last write. */
-    public fun written(now: Long, outcome: AllotmentOutcome): List<AllotmentEffect> {
+    public fun written(now: Long, outcome: WriteOutcome): List<AllotmentEffect> {
         awaitingOutcome = false
         version = null
         // A lost race costs a short pause and not a whole period, because parts may be waiting to be given.
-        if (outcome == AllotmentOutcome.CONFLICT) wroteAt = now - WRITE_PERIOD_NANOS + CONFLICT_PAUSE_NANOS
+        if (outcome == WriteOutcome.Conflict) wroteAt = now - WRITE_PERIOD_NANOS + CONFLICT_PAUSE_NANOS
         // Without an attempt the write belonged to an older generation of this coordinator.
         val open = attempt ?: return if (generation == null) emptyList() else read(now)
-        if (outcome == AllotmentOutcome.APPLIED) {
+        if (outcome is WriteOutcome.Applied) {
             newestVersion = maxOf(newestVersion, open.expectedVersion + 1)
             applied(open)
         }
--- a/core/src/main/kotlin/io/camphordrum/core/limits/ShareHolder.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/ShareHolder.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.limits
 
+import io.camphordrum.core.WriteOutcome
 import io.camphordrum.core.AccountId
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.Generation
@@ -166,7 +167,7 @@
         allotments?.read(now, record, version).asStore()
 
     /** Reports the outcome of the last [AllotmentEffect.WriteAllotments]; each write is reported once. */
-    public fun allotmentsWritten(now: Long, outcome: AllotmentOutcome): List<ShareEffect> =
+    public fun allotmentsWritten(now: Long, outcome: WriteOutcome): List<ShareEffect> =
         allotments?.written(now, outcome).asStore() + lead(now)
 
     /** Returns the parts of [account] held by this member, its floor included. */
--- a/core/src/test/kotlin/io/camphordrum/core/config/FakeObjects.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/config/FakeObjects.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.config
 
+import io.camphordrum.core.WriteOutcome
 import kotlin.random.Random
 
 /** Keeps objects with conditional updates; [fault] decides what happens to each call. */
--- a/core/src/test/kotlin/io/camphordrum/core/fleet/FleetStore.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/fleet/FleetStore.kt
@@ -4,11 +4,9 @@
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.WriteOutcome
 import io.camphordrum.core.config.ReadOutcome
-import io.camphordrum.core.limits.AllotmentOutcome
 import io.camphordrum.core.limits.AllotmentRecord
 import io.camphordrum.core.membership.MembershipRecord
 import io.camphordrum.core.once.ClaimShard
-import io.camphordrum.core.config.WriteOutcome as ConfigWrite
 
 /** Carries the store effects of the cores to a [FakeStore], with delays, outages and lost answers. */
 class FleetStore(private val fleet: Fleet, private val store: FakeStore) {
@@ -23,7 +21,7 @@
             CoreEffect.ReadAllotments -> readAllotments(node)
             is CoreEffect.WriteAllotments ->
                 write(node, "allotments", effect.record, effect.expectedVersion) { outcome ->
-                    node.decide { core, at -> core.allotmentsWritten(at, allotment(outcome)) }
+                    node.decide { core, at -> core.allotmentsWritten(at, outcome) }
                 }
             is CoreEffect.ReadClaims -> read(node, effect.id.objectName) { found ->
                 node.decide { core, at ->
@@ -47,7 +45,7 @@
                 node.decide { core, at -> core.configRead(at, effect.request, outcome) }
             }
             is CoreEffect.WriteConfig -> write(node, effect.name, effect.value, effect.ifVersion) { outcome ->
-                node.decide { core, at -> core.configWritten(at, effect.request, config(outcome)) }
+                node.decide { core, at -> core.configWritten(at, effect.request, outcome) }
             }
         }
     }
@@ -107,20 +105,6 @@
 
     private fun unreachable(node: Node) = store.out || node.storeCut
 
-    private fun allotment(outcome: WriteOutcome) = when (outcome) {
-        is WriteOutcome.Applied -> AllotmentOutcome.APPLIED
-        WriteOutcome.Conflict -> AllotmentOutcome.CONFLICT
-        WriteOutcome.Unknown -> AllotmentOutcome.UNKNOWN
-        WriteOutcome.Unavailable -> AllotmentOutcome.UNAVAILABLE
-    }
-
-    private fun config(outcome: WriteOutcome) = when (outcome) {
-        is WriteOutcome.Applied -> ConfigWrite.Applied(outcome.version)
-        WriteOutcome.Conflict -> ConfigWrite.Conflict
-        WriteOutcome.Unknown -> ConfigWrite.Unknown
-        WriteOutcome.Unavailable -> ConfigWrite.Unavailable
-    }
-
     private companion object {
         const val TIMEOUT = 2_000 * Fleet.MILLI
     }
--- a/core/src/test/kotlin/io/camphordrum/core/limits/AllotmentsTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/limits/AllotmentsTest.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.limits
 
+import io.camphordrum.core.WriteOutcome
 import io.camphordrum.core.AccountId
 import io.camphordrum.core.DataCentreId
 import org.junit.jupiter.api.Nested
@@ -35,11 +36,11 @@
         return null
     }
 
-    private fun apply(write: AllotmentEffect.WriteAllotments): AllotmentOutcome {
-        if (write.expectedVersion != version) return AllotmentOutcome.CONFLICT
+    private fun apply(write: AllotmentEffect.WriteAllotments): WriteOutcome {
+        if (write.expectedVersion != version) return WriteOutcome.Conflict
         record = write.record
         version++
-        return AllotmentOutcome.APPLIED
+        return WriteOutcome.Applied(0)
     }
 
     private fun claimed(centre: DataCentreId, generation: Long): Allotments {
@@ -73,9 +74,9 @@
             old.give(b, account, 100_000)
             val late = old.nextWrite()!!
             val next = claimed(a, 2)
-            assertEquals(AllotmentOutcome.CONFLICT, apply(late))
+            assertEquals(WriteOutcome.Conflict, apply(late))
             assertEquals(500_000, next.parts(account))
-            old.written(now, AllotmentOutcome.CONFLICT)
+            old.written(now, WriteOutcome.Conflict)
             old.readBack()
             assertNull(old.parts(account))
             assertNull(old.nextWrite())
@@ -89,7 +90,7 @@
             val machine = claimed(a, 1)
             machine.give(b, account, 100_000)
             apply(machine.nextWrite()!!)
-            machine.written(now, AllotmentOutcome.UNKNOWN)
+            machine.written(now, WriteOutcome.Unknown)
             machine.readBack()
             assertEquals(400_000, machine.parts(account))
             assertEquals(600_000, record!!.parts(b, account))
@@ -101,7 +102,7 @@
             val machine = claimed(a, 1)
             machine.give(b, account, 100_000)
             val first = machine.nextWrite()!!
-            machine.written(now, AllotmentOutcome.UNKNOWN)
+            machine.written(now, WriteOutcome.Unknown)
             machine.readBack()
             assertEquals(400_000, machine.parts(account))
             val second = machine.nextWrite()!!
@@ -123,9 +124,9 @@
             other.want(mapOf(account to 300_000))
             // The first attempt conflicts with the claim of the data centre a.
             repeat(2) { other.written(now, apply(other.nextWrite()!!)) }
-            machine.written(now, AllotmentOutcome.UNKNOWN)
+            machine.written(now, WriteOutcome.Unknown)
             machine.readBack()
-            assertEquals(AllotmentOutcome.CONFLICT, apply(lost))
+            assertEquals(WriteOutcome.Conflict, apply(lost))
             assertEquals(500_000, machine.parts(account))
         }
     }
@@ -169,7 +170,7 @@
         val machine = claimed(a, 1)
         machine.want(mapOf(account to 200_000))
         machine.nextWrite()
-        val effects = machine.written(now, AllotmentOutcome.UNAVAILABLE)
+        val effects = machine.written(now, WriteOutcome.Unavailable)
         assertIs<AllotmentEffect.ReadAllotments>(effects.single())
         assertEquals(500_000, machine.parts(account))
     }
--- a/core/src/test/kotlin/io/camphordrum/core/limits/Fleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/limits/Fleet.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.limits
 
+import io.camphordrum.core.WriteOutcome
 import io.camphordrum.core.AccountId
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.Generation
@@ -262,13 +263,13 @@
                     record = effect.record
                     version++
                 }
-                if (!lost) answer(node, if (applied) AllotmentOutcome.APPLIED else AllotmentOutcome.CONFLICT)
+                if (!lost) answer(node, if (applied) WriteOutcome.Applied(0) else WriteOutcome.Conflict)
             }
         }
-        if (lost) answer(node, if (storeDown) AllotmentOutcome.UNAVAILABLE else AllotmentOutcome.UNKNOWN)
+        if (lost) answer(node, if (storeDown) WriteOutcome.Unavailable else WriteOutcome.Unknown)
     }
 
-    private fun answer(node: Node, outcome: AllotmentOutcome) {
+    private fun answer(node: Node, outcome: WriteOutcome) {
         packets += Packet(now + random.nextLong(maxDelayNanos), node) {
             execute(node, node.holder.allotmentsWritten(now, outcome))
         }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/CoreObjects.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/CoreObjects.kt
@@ -4,7 +4,6 @@
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.DecisionCore
 import io.camphordrum.core.WriteOutcome
-import io.camphordrum.core.limits.AllotmentOutcome
 import io.camphordrum.core.limits.AllotmentRecord
 import io.camphordrum.core.once.ClaimShard
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -12,7 +11,6 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import io.camphordrum.core.config.ReadOutcome as ConfigRead
-import io.camphordrum.core.config.WriteOutcome as ConfigWrite
 
 private val log = KotlinLogging.logger {}
 
@@ -108,9 +106,9 @@
     private fun report(core: DecisionCore, now: Long, effect: CoreEffect.Store, end: WriteEnd): List<CoreEffect> =
         when (effect) {
             is CoreEffect.WriteMembership -> core.membershipWritten(now, outcome(end))
-            is CoreEffect.WriteAllotments -> core.allotmentsWritten(now, allotmentOutcome(end))
+            is CoreEffect.WriteAllotments -> core.allotmentsWritten(now, outcome(end))
             is CoreEffect.WriteClaims -> core.claimsWritten(now, effect.id, outcome(end))
-            is CoreEffect.WriteConfig -> core.configWritten(now, effect.request, configOutcome(end))
+            is CoreEffect.WriteConfig -> core.configWritten(now, effect.request, outcome(end))
             else -> emptyList()
         }
 
@@ -134,20 +132,6 @@
         is WriteEnd.Unavailable -> WriteOutcome.Unavailable
     }
 
-    private fun configOutcome(end: WriteEnd): ConfigWrite = when (end) {
-        is WriteEnd.Applied -> ConfigWrite.Applied(end.version)
-        WriteEnd.Conflict -> ConfigWrite.Conflict
-        is WriteEnd.Unknown -> ConfigWrite.Unknown
-        is WriteEnd.Unavailable -> ConfigWrite.Unavailable
-    }
-
-    private fun allotmentOutcome(end: WriteEnd): AllotmentOutcome = when (end) {
-        is WriteEnd.Applied -> AllotmentOutcome.APPLIED
-        WriteEnd.Conflict -> AllotmentOutcome.CONFLICT
-        is WriteEnd.Unknown -> AllotmentOutcome.UNKNOWN
-        is WriteEnd.Unavailable -> AllotmentOutcome.UNAVAILABLE
-    }
-
     private companion object {
         const val ALLOTMENTS = "allotments"
         val json = Json { ignoreUnknownKeys = true }
