--- a/core/src/main/kotlin/io/camphordrum/core/TicketExchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/TicketExchange.kt
@@ -45,7 +45,9 @@
             }
             is TicketMessage.Grant -> {
                 val valid = message.validMillis * MILLI
-                val grant = TicketGrant(message.ticket, null, message.fencing, valid, message.waitMillis * MILLI)
+                val start = message.startMillis * MILLI
+                val wait = message.waitMillis * MILLI
+                val grant = TicketGrant(message.ticket, null, message.fencing, start, valid, wait)
                 answers.granted(now, message.id, grant)
             }
             is TicketMessage.Deny -> {
@@ -130,13 +132,20 @@
 
     private fun grant(now: Long, effect: OwnerEffect.Grant) {
         if (effect.to == self) {
-            val grant =
-                TicketGrant(effect.ticket, effect.version, effect.fencing, effect.validNanos, effect.waitNanos)
+            val grant = TicketGrant(
+                effect.ticket,
+                effect.version,
+                effect.fencing,
+                effect.startNanos,
+                effect.validNanos,
+                effect.waitNanos,
+            )
             return answers.granted(now, effect.request, grant)
         }
+        val start = (effect.startNanos / MILLI).toInt()
         val valid = (effect.validNanos / MILLI).toInt()
         val wait = millis(effect.waitNanos)
-        reply(effect.to, TicketMessage.Grant(effect.request, effect.ticket, effect.fencing, valid, wait))
+        reply(effect.to, TicketMessage.Grant(effect.request, effect.ticket, effect.fencing, start, valid, wait))
     }
 
     private fun deny(now: Long, effect: OwnerEffect.Deny) {
@@ -160,7 +169,9 @@
     private fun readLoads(now: Long) {
         nextLoadRead = now + options.loadReportNanos
         for (owner in table.owned) {
-            table[owner.endpoint]?.let { emit(CoreEffect.ReadLoad(it.id, it.address)) }
+            val listed = table[owner.endpoint] ?: continue
+            // A plain service may execute any request, so it is never polled.
+            if (listed.base != null) emit(CoreEffect.ReadLoad(listed.id, listed.address))
         }
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
@@ -120,6 +120,8 @@
         p.ticket = grant.ticket
         when {
             withdrawn(p) -> refuse(now, p, Refusal(RefusalCode.BAD_KEY, "the key was withdrawn"))
+            // A later owner may evict the adapter once tickets of this owner can no longer be used to begin.
+            now - p.askedAtNanos > grant.startNanos -> nextCandidate(now, p)
             target == null || until - now < settings.shortestRunNanos -> nextCandidate(now, p)
             else -> dispatch(now, p, endpoint, target, grant, until)
         }
--- a/core/src/main/kotlin/io/camphordrum/core/residency/EndpointOwner.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/EndpointOwner.kt
@@ -230,6 +230,7 @@
         ticket.request.version,
         fencing,
         ticket.expiresNanos,
+        ticket.grantedNanos + settings.dispatchNanos - ticket.arrivedNanos,
         ticket.expiresNanos - ticket.arrivedNanos,
         waitNanos(now, ticket.request.account),
     )
--- a/core/src/main/kotlin/io/camphordrum/core/residency/OwnerEffect.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/OwnerEffect.kt
@@ -32,6 +32,7 @@
      *
      * @property version the adapter that the ticket protects from eviction; null on a plain service.
      * @property expiresNanos end of the ticket's life on the owner's clock.
+     * @property startNanos time from the arrival of the request until it must have been sent to the endpoint.
      * @property validNanos the same counted from the arrival of the request; see [TicketMessage.Grant.validMillis].
      * @property waitNanos the wait that the next request of the same account would meet.
      */
@@ -43,6 +44,7 @@
         public val version: AdapterVersion?,
         public val fencing: Long,
         public val expiresNanos: Long,
+        public val startNanos: Long,
         public val validNanos: Long,
         public val waitNanos: Long,
     ) : OwnerEffect
--- a/core/src/main/kotlin/io/camphordrum/core/residency/OwnerSettings.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/OwnerSettings.kt
@@ -10,6 +10,7 @@
  * @property quantumTokens tokens that the account with the largest weight gets in each round of the fair queue.
  * @property passOverLimit how often later requests of the same account may go before a request.
  * @property ticketLifeNanos the longest life of a ticket.
+ * @property dispatchNanos time after the grant within which the holder must send the request.
  * @property previousLeaseNanos the longest time that a previous owner's lease may outlive the change of owner.
  * @property orderNanos the longest time from the decision for an order until it can no longer take effect.
  * @property reportLagNanos how much older than its sampling time a load report may be.
@@ -29,6 +30,7 @@
     public val quantumTokens: Long = 1_024,
     public val passOverLimit: Int = 128,
     public val ticketLifeNanos: Long = 60 * SECOND,
+    public val dispatchNanos: Long = 2 * SECOND,
     public val previousLeaseNanos: Long = 3_150 * MILLISECOND,
     public val orderNanos: Long = 5 * SECOND,
     public val reportLagNanos: Long = 2 * SECOND,
--- a/core/src/main/kotlin/io/camphordrum/core/residency/Takeover.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Takeover.kt
@@ -4,8 +4,9 @@
  * Holds back an owner until nothing that a previous owner did can interfere.
  *
  * An order of the previous owner can take effect until its lease and its last order have run out, unless the
- * endpoint has accepted the new fencing number and refuses older ones. A ticket of the previous owner, or a dispatch
- * without a ticket while there was no valid lease, can use an adapter until the longest ticket life has passed.
+ * endpoint has accepted the new fencing number and refuses older ones. A ticket of the previous owner can be used to
+ * begin a request until its dispatch time has passed; from then on the request shows in the endpoint's load reports,
+ * and an adapter is evicted only when a report shows it idle.
  */
 internal class Takeover(
     startNanos: Long,
@@ -16,7 +17,7 @@
     private val quietNanos =
         if (firstOwner) startNanos else startNanos + settings.previousLeaseNanos + settings.orderNanos
     private var evictNanos =
-        if (firstOwner) NEVER_NANOS else startNanos + settings.previousLeaseNanos + settings.ticketLifeNanos
+        if (firstOwner) NEVER_NANOS else startNanos + settings.previousLeaseNanos + settings.dispatchNanos
 
     /** True once the endpoint has accepted an order with this owner's fencing number. */
     var fenceProved: Boolean = firstOwner
@@ -35,9 +36,9 @@
     /** True when a report of the state at [then] can show that no unknown ticket is in use. */
     fun settles(then: Long): Boolean = then > evictNanos + TRANSIT_NANOS
 
-    /** Other daemons may now dispatch without tickets. */
+    /** Another owner may have granted tickets meanwhile. */
     fun leaseInvalid(now: Long) {
-        evictNanos = maxOf(evictNanos, now + settings.ticketLifeNanos)
+        evictNanos = maxOf(evictNanos, now + settings.dispatchNanos)
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/camphordrum/core/residency/TicketMessage.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/TicketMessage.kt
@@ -35,6 +35,7 @@
     /**
      * Allows the request [id] to be dispatched.
      *
+     * @property startMillis time within which the request must be sent to the endpoint, counted like [validMillis].
      * @property validMillis life of the ticket, counted by the holder from the moment it first sent the request, so
      *   that the holder's view of the expiry is never later than the owner's.
      * @property waitMillis the wait that the next request of the same account would meet.
@@ -45,6 +46,7 @@
         @SerialName("i") public val id: Long,
         @SerialName("k") public val ticket: Long,
         @SerialName("f") public val fencing: Long,
+        @SerialName("s") public val startMillis: Int,
         @SerialName("l") public val validMillis: Int,
         @SerialName("w") public val waitMillis: Int = 0,
     ) : TicketMessage
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
@@ -38,6 +38,7 @@
  */
 class EndpointClient(private val factory: ClientFactory) {
     private val clients = ConcurrentHashMap<String, WebClient>()
+    private val quickClients = ConcurrentHashMap<String, WebClient>()
 
     /** Runs [order] for [exchange] and reports its end exactly once through [onEnd]. */
     fun dispatch(order: DispatchOrder, exchange: Exchange, onEnd: (DispatchEnd) -> Unit) {
@@ -63,24 +64,30 @@
             .set(EndpointHeaders.FENCING, fencing.toString())
             .build()
         val request = HttpRequest.of(headers, HttpData.ofUtf8(body.toString()))
-        client(address).execute(request).aggregate().handle { answer, _ -> onEnd(answer?.status()?.code()) }
+        quick(address).execute(request).aggregate().handle { answer, _ -> onEnd(answer?.status()?.code()) }
     }
 
     /** Reads the load page of an endpoint; [onEnd] receives its text, or null when it cannot be read. */
     fun metrics(address: String, onEnd: (String?) -> Unit) {
-        client(address).get("/metrics").aggregate().handle { answer, _ ->
+        quick(address).get("/metrics").aggregate().handle { answer, _ ->
             onEnd(answer?.takeIf { it.status().isSuccess }?.contentUtf8())
         }
     }
 
     private fun client(address: String): WebClient = clients.computeIfAbsent(address) {
-        WebClient.builder("http://$it")
-            .factory(factory)
-            .responseTimeout(Duration.ofSeconds(LONGEST_ANSWER_SECONDS))
-            .maxResponseLength(MAX_ANSWER_BYTES)
-            .build()
+        webClient(it, Duration.ofSeconds(LONGEST_ANSWER_SECONDS))
+    }
+
+    private fun quick(address: String): WebClient = quickClients.computeIfAbsent(address) {
+        webClient(it, Duration.ofSeconds(LONGEST_ORDER_SECONDS))
     }
 
+    private fun webClient(address: String, timeout: Duration): WebClient = WebClient.builder("http://$address")
+        .factory(factory)
+        .responseTimeout(timeout)
+        .maxResponseLength(MAX_ANSWER_BYTES)
+        .build()
+
     private fun withDispatchHeaders(request: HttpRequest, order: DispatchOrder): HttpRequest {
         val headers = request.headers().toBuilder()
             .set(EndpointHeaders.DISPATCH_ID, order.dispatch)
@@ -146,6 +153,9 @@
 
     private companion object {
         const val LONGEST_ANSWER_SECONDS = 600L
+
+        // The owner of an endpoint counts an order without an answer as lost after the same time.
+        const val LONGEST_ORDER_SECONDS = 5L
         const val MAX_ANSWER_BYTES = 16L shl 20
 
         // Engines answer with these before they run anything: adapter not resident, old fencing number, overload.
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointsPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointsPlugin.kt
@@ -68,15 +68,20 @@
 internal fun parseLoad(text: String, sampledNanos: Long): LoadReport? {
     val values = HashMap<String, Long>()
     val resident = HashSet<AdapterVersion>()
+    val busy = HashSet<AdapterVersion>()
+    var tellsBusy = false
     for (line in text.lineSequence()) {
         if (line.isEmpty() || line.startsWith("#")) continue
         val name = line.substringBefore(' ').substringBefore('{')
         val value = line.substringAfterLast(' ').toDoubleOrNull()?.toLong() ?: continue
-        if (name == "engine_lora_resident") {
-            val adapter = line.substringAfter("adapter=\"", "").substringBefore('"')
-            if (value > 0) AdapterVersion.parse(adapter)?.let { resident += it }
-        } else {
-            values[name] = value
+        val adapter = AdapterVersion.parse(line.substringAfter("adapter=\"", "").substringBefore('"'))
+        when (name) {
+            "engine_lora_resident" -> if (value > 0 && adapter != null) resident += adapter
+            "engine_lora_requests" -> {
+                tellsBusy = true
+                if (value > 0 && adapter != null) busy += adapter
+            }
+            else -> values[name] = value
         }
     }
     return LoadReport(
@@ -86,5 +91,6 @@
         running = values["engine_requests_running"]?.toInt() ?: 0,
         waiting = values["engine_requests_waiting"]?.toInt() ?: 0,
         slots = values["engine_lora_slots"]?.toInt() ?: 0,
+        busy = busy.takeIf { tellsBusy || resident.isEmpty() },
     )
 }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Kernel.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Kernel.kt
@@ -97,8 +97,9 @@
         }
         for (plugin in plugins.asReversed()) plugin.drain()
         awaitRequests()
+        val joined = ask { core, _ -> core.joined }.get(LEAVE_SECONDS, TimeUnit.SECONDS)
         decideSurely { core, now -> core.leave(now) }
-        if (!left.await(LEAVE_SECONDS, TimeUnit.SECONDS)) log.warn { "leave_unconfirmed" }
+        if (joined && !left.await(LEAVE_SECONDS, TimeUnit.SECONDS)) log.warn { "leave_unconfirmed" }
         for (plugin in plugins.asReversed()) plugin.stop()
         decisions.stop()
     }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Settings.kt
@@ -43,7 +43,7 @@
     val keySecret: String,
     val shutdownSeconds: Long = 120,
     val loadReportMillis: Long = 250,
-    val instanceListMillis: Long = 1_000,
+    val instanceListMillis: Long = 2_000,
     val platformTimeoutMillis: Long = 2_000,
     val maxBodyBytes: Long = 1L shl 20,
     val ringSlots: Int = 1 shl 14,
--- a/standins/src/test/kotlin/io/camphordrum/standins/Batch.kt
+++ b/standins/src/test/kotlin/io/camphordrum/standins/Batch.kt
@@ -54,6 +54,9 @@
         LockSupport.unpark(thread)
     }
 
+    @Synchronized
+    fun count(adapter: String): Int = running.count { it.adapter == adapter } + waiting.count { it.adapter == adapter }
+
     @Synchronized
     fun uses(adapter: String): Boolean = running.any { it.adapter == adapter } || waiting.any { it.adapter == adapter }
 
--- a/standins/src/test/kotlin/io/camphordrum/standins/Engine.kt
+++ b/standins/src/test/kotlin/io/camphordrum/standins/Engine.kt
@@ -186,6 +186,9 @@
         append("engine_requests_waiting ${batch.waitingCount}\n")
         append("engine_incarnation $incarnation\n")
         append("engine_lora_slots ${options.slots}\n")
-        for (adapter in slots.names()) append("engine_lora_resident{adapter=\"$adapter\"} 1\n")
+        for (adapter in slots.names()) {
+            append("engine_lora_resident{adapter=\"$adapter\"} 1\n")
+            append("engine_lora_requests{adapter=\"$adapter\"} ${batch.count(adapter)}\n")
+        }
     }
 }
