--- a/core/src/main/kotlin/io/camphordrum/core/EndpointTable.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/EndpointTable.kt
@@ -78,14 +78,9 @@
         generation: Generation,
         emit: (EndpointId, List<OwnerEffect>) -> Unit,
     ) {
-        val owner = owners[endpoint.id]
-        if (owner != null && endpoint.id in leaving) {
-            // The drained owner still counts its tickets; a successor may only start when they have ended.
-            if (!owner.idle) return
-            owners.remove(endpoint.id)
-            leaving -= endpoint.id
-        }
         val known = owners[endpoint.id]
+        // The drained owner still counts its tickets, so it goes on and is not replaced.
+        if (leaving.remove(endpoint.id)) known?.resume()
         if (known == null) {
             owners[endpoint.id] = newOwner(now, endpoint, generation)
         } else if (known.fencing != generation.number) {
--- a/core/src/main/kotlin/io/camphordrum/core/limits/ShareHolder.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/limits/ShareHolder.kt
@@ -1,11 +1,11 @@
 package io.camphordrum.core.limits
 
-import io.camphordrum.core.WriteOutcome
 import io.camphordrum.core.AccountId
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.Generation
 import io.camphordrum.core.Member
 import io.camphordrum.core.RateLimit
+import io.camphordrum.core.WriteOutcome
 
 /**
  * Holds this member's parts of every client account's limit and decides admission.
--- a/core/src/main/kotlin/io/camphordrum/core/residency/EndpointOwner.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/EndpointOwner.kt
@@ -149,6 +149,11 @@
         return advance(now)
     }
 
+    /** Takes requests again after [leave]; the tickets that still count are kept. */
+    public fun resume() {
+        leaving = false
+    }
+
     /** Returns the wait that a request of [account] would meet for a resident adapter, in nanoseconds. */
     public fun waitNanos(now: Long, account: AccountId? = null): Long = queueWait(account) + gateWait(now)
 
--- a/core/src/main/kotlin/io/camphordrum/core/residency/Takeover.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Takeover.kt
@@ -36,9 +36,9 @@
     /** True when a report of the state at [then] can show that no unknown ticket is in use. */
     fun settles(then: Long): Boolean = then > evictNanos + TRANSIT_NANOS
 
-    /** Another owner may have granted tickets meanwhile. */
+    /** Other daemons may have dispatched without tickets meanwhile, for as long as a ticket lives. */
     fun leaseInvalid(now: Long) {
-        evictNanos = maxOf(evictNanos, now + settings.dispatchNanos)
+        evictNanos = maxOf(evictNanos, now + settings.ticketLifeNanos)
     }
 
     private companion object {
--- a/core/src/test/kotlin/io/camphordrum/core/limits/AllotmentsTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/limits/AllotmentsTest.kt
@@ -1,8 +1,8 @@
 package io.camphordrum.core.limits
 
-import io.camphordrum.core.WriteOutcome
 import io.camphordrum.core.AccountId
 import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.WriteOutcome
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/core/src/test/kotlin/io/camphordrum/core/limits/Fleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/limits/Fleet.kt
@@ -1,6 +1,5 @@
 package io.camphordrum.core.limits
 
-import io.camphordrum.core.WriteOutcome
 import io.camphordrum.core.AccountId
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.Generation
@@ -10,6 +9,7 @@
 import io.camphordrum.core.Member
 import io.camphordrum.core.MemberState
 import io.camphordrum.core.RateLimit
+import io.camphordrum.core.WriteOutcome
 import kotlin.random.Random
 
 const val MILLIS = 1_000_000L
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/HttpObjectStore.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/HttpObjectStore.kt
@@ -83,7 +83,9 @@
         if (!answer.status().isSuccess) return WatchOutcome.Unavailable("status ${answer.status()}")
         return decoded(answer, { WatchOutcome.Unavailable(it) }) { text ->
             WatchOutcome.Changed(
-                Json.parseToJsonElement(text).jsonObject.getValue("objects").jsonArray.map { it.jsonObject }.associate { entry ->
+                Json.parseToJsonElement(text).jsonObject.getValue("objects").jsonArray.map {
+                    it.jsonObject
+                }.associate { entry ->
                     entry.getValue("name").jsonPrimitive.content to entry.getValue("version").jsonPrimitive.long
                 },
             )
