--- a/core/src/main/kotlin/io/camphordrum/core/CoreStatus.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/CoreStatus.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core
 
+import io.camphordrum.core.residency.EndpointOwner
 import kotlinx.serialization.Serializable
 
 /**
@@ -32,3 +33,6 @@
     public val tickets: Int,
     public val waiting: Int,
 )
+
+internal fun ownedStatus(owner: EndpointOwner) =
+    OwnedEndpointStatus(owner.endpoint.name, owner.fencing, owner.concurrency, owner.tickets, owner.waiting)
--- a/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
@@ -2,14 +2,9 @@
 
 import io.camphordrum.core.config.Change
 import io.camphordrum.core.config.ConfigMessage
-import io.camphordrum.core.config.ConfigSpread
-import io.camphordrum.core.config.ConfigStore
 import io.camphordrum.core.config.DataCentreState
 import io.camphordrum.core.config.ReadOutcome
 import io.camphordrum.core.config.Snapshot
-import io.camphordrum.core.config.SpreadEffect
-import io.camphordrum.core.config.StoreEffect
-import io.camphordrum.core.config.Tree
 import io.camphordrum.core.limits.Admission
 import io.camphordrum.core.limits.AllotmentRecord
 import io.camphordrum.core.limits.ShareEffect
@@ -52,26 +47,23 @@
  */
 public class DecisionCore(private val options: CoreOptions, clock: Clock, format: StringFormat) {
     private val self = options.self
-    private val directory = Directory(self, options.dataCentre)
+    private val directory = Directory(self)
     private val membership = Membership(self, options.dataCentre, options.peerAddress, options.seed)
-    private val store = ConfigStore(format, seed = options.seed)
-    private val spread = ConfigSpread(self, options.dataCentre, format, seed = options.seed)
     private val claims = ClaimLedger(clock::epochMillis)
     private val table = EndpointTable(self, options.dataCentre, options.region, ::newOwner)
     private val router = Router(reachable = { tickets.reachable(it) })
     private val out = ArrayList<CoreEffect>()
+    private val config = Configuration(options, format, directory, out::add, ::installed)
     private val tickets: TicketExchange = TicketExchange(options, directory, table, router, OwnAnswers(), out::add)
     private var shares: ShareHolder? = null
     private var flow: RequestFlow? = null
-    private var snapshot: Snapshot? = null
-    private var nextSeed = 0L
     private var leaving = false
 
     /** Requests that have no final answer yet. */
     public val openRequests: Int get() = flow?.open ?: 0
 
     /** The configuration in force, or null before the first is known. */
-    public val configuration: Snapshot? get() = snapshot
+    public val configuration: Snapshot? get() = config.snapshot
 
     /** Whether this instance is a live member of the newest known generation of its data centre. */
     public val joined: Boolean get() = membership.generation?.live?.contains(self) == true
@@ -89,11 +81,11 @@
 
     /** Tells that a caller went away. */
     public fun cancelled(now: Long, request: Long): List<CoreEffect> =
-        withFlow { requests(now, it.cancelled(now, request)) }
+        collect { withFlow { requests(now, it.cancelled(now, request)) } }
 
     /** Takes the end of a dispatch. */
     public fun ended(now: Long, request: Long, dispatch: String, end: DispatchEnd): List<CoreEffect> =
-        withFlow { requests(now, it.ended(now, request, dispatch, end)) }
+        collect { withFlow { requests(now, it.ended(now, request, dispatch, end)) } }
 
     /** Takes a load report of an owned endpoint; null when its load page could not be read. */
     public fun loadReported(now: Long, endpoint: EndpointId, report: LoadReport?): List<CoreEffect> = collect {
@@ -124,7 +116,7 @@
 
     /** Takes a message about the configuration. */
     public fun receive(now: Long, from: Member, message: ConfigMessage): List<CoreEffect> =
-        collect { spread(now, spread.receive(now, from, message)) }
+        collect { config.receive(now, from, message) }
 
     /** Takes a digest of another owner. */
     public fun receive(now: Long, from: Member, message: ResidencyMessage): List<CoreEffect> = collect {
@@ -144,7 +136,7 @@
     /** Tells that the peer at [address] cannot be reached. */
     public fun peerDown(now: Long, address: String): List<CoreEffect> = collect {
         directory.down(address)
-        withFlowHere { flow -> requests(now, flow.ownersChanged(now) { !tickets.reachable(it) }) }
+        withFlow { flow -> requests(now, flow.ownersChanged(now) { !tickets.reachable(it) }) }
     }
 
     /** Takes the own or another data centre's membership record, read at the platform by a read sent at [sentAt]. */
@@ -192,7 +184,7 @@
 
     /** Takes the end of reading a configuration object. */
     public fun configRead(now: Long, request: Long, outcome: ReadOutcome): List<CoreEffect> =
-        collect { config(now, store.objectRead(now, request, outcome)) }
+        collect { config.read(now, request, outcome) }
 
     /** Takes the end of writing a configuration object. */
     public fun configWritten(
@@ -200,17 +192,17 @@
         request: Long,
         outcome: WriteOutcome,
     ): List<CoreEffect> =
-        collect { config(now, store.objectWritten(now, request, outcome)) }
+        collect { config.written(now, request, outcome) }
 
     /** Reads the newest configuration revision from the platform. */
-    public fun loadConfiguration(now: Long): List<CoreEffect> = collect { config(now, store.load(now)) }
+    public fun loadConfiguration(now: Long): List<CoreEffect> = collect { config.load(now) }
 
     /** Submits an operator's change. */
-    public fun submit(now: Long, change: Change): List<CoreEffect> = collect { config(now, store.submit(now, change)) }
+    public fun submit(now: Long, change: Change): List<CoreEffect> = collect { config.submit(now, change) }
 
     /** Reads the newest [limit] change records. */
     public fun history(now: Long, query: Long, limit: Int): List<CoreEffect> =
-        collect { config(now, store.history(now, query, limit)) }
+        collect { config.history(now, query, limit) }
 
     /** Takes an operator's statement that [instance] has ended and cannot act again. */
     public fun gone(now: Long, instance: InstanceId): List<CoreEffect> =
@@ -234,11 +226,9 @@
         members(now, membership.tick(now))
         shares?.let { shares(it.tick(now)) }
         tickets.tick(now)
-        withFlowHere { requests(now, it.tick(now)) }
+        withFlow { requests(now, it.tick(now)) }
         claims(now, claims.tick(now))
-        config(now, store.tick(now))
-        spread(now, spread.tick(now))
-        if (snapshot == null && now - nextSeed >= 0) askSeeds(now)
+        config.tick(now)
         if (leaving) leaveWhenReleased(now)
     }
 
@@ -247,23 +237,15 @@
         instance = self.instance.name,
         incarnation = self.incarnation,
         dataCentre = options.dataCentre.name,
-        revision = snapshot?.revision ?: 0,
+        revision = configuration?.revision ?: 0,
         generation = membership.generation?.number ?: 0,
         leaseValid = membership.leaseValid(now),
         openRequests = openRequests,
-        members = directory.live().entries.associate { (id, live) -> id.name to live.map { it.instance.name } },
-        owned = table.owned.map {
-            OwnedEndpointStatus(it.endpoint.name, it.fencing, it.concurrency, it.tickets, it.waiting)
-        },
-        parts = snapshot?.limits()?.keys.orEmpty().associate { it.name to (shares?.parts(it) ?: 0) },
+        members = directory.names(),
+        owned = table.owned.map(::ownedStatus),
+        parts = configuration?.limits()?.keys.orEmpty().associate { it.name to (shares?.parts(it) ?: 0) },
     )
 
-    // The platform may be out when this process starts; any peer that answers has the configuration.
-    private fun askSeeds(now: Long) {
-        nextSeed = now + options.seedNanos
-        for (seed in options.seeds) out += CoreEffect.SendConfig(seed, ConfigMessage.Fetch(0))
-    }
-
     private fun leaveWhenReleased(now: Long) {
         val released = shares?.released ?: true
         if (released && table.owned.all { it.idle }) members(now, membership.leave(now))
@@ -278,13 +260,13 @@
             fenced = endpoint.fencing,
             leaseValid = { membership.holds(it, endpoint.id) },
             takeLoad = { base != null && takeLoad(it, base) },
-            weight = { snapshot?.limits()?.get(it)?.tokensPerSecond ?: 1 },
+            weight = { config.snapshot?.limits()?.get(it)?.tokensPerSecond ?: 1 },
             adapters = base != null,
         )
     }
 
     private fun takeLoad(now: Long, base: BaseModelId): Boolean {
-        if (snapshot?.loadBudgets()?.containsKey(base) != true) return true
+        if (config.snapshot?.loadBudgets()?.containsKey(base) != true) return true
         return shares?.admit(now, loadAccount(base), 1) == Admission.Granted
     }
 
@@ -314,7 +296,7 @@
                 is ClaimEffect.ReadShard -> out += CoreEffect.ReadClaims(effect.id)
                 is ClaimEffect.WriteShard ->
                     out += CoreEffect.WriteClaims(effect.id, effect.value, effect.expectedVersion)
-                is ClaimEffect.Decision -> withFlowHere {
+                is ClaimEffect.Decision -> withFlow {
                     requests(now, it.claimed(now, requestOf(effect.attempt), claimAnswer(effect)))
                 }
             }
@@ -333,7 +315,7 @@
                     out += CoreEffect.WriteMembership(options.dataCentre, effect.record, effect.expectedVersion)
                 is MembershipEffect.GenerationChanged -> generation(now, effect.generation)
                 is MembershipEffect.RevisionSeen ->
-                    spread(now, spread.receive(now, effect.from, ConfigMessage.Notice(effect.revision)))
+                    config.receive(now, effect.from, ConfigMessage.Notice(effect.revision))
                 MembershipEffect.Left -> out += CoreEffect.Left
                 is MembershipEffect.Superseded -> out += CoreEffect.Superseded(effect.by)
             }
@@ -362,48 +344,13 @@
         for (effect in effects) shareEffect(effect, directory)?.let(out::add)
     }
 
-    private fun config(now: Long, effects: List<StoreEffect>) {
-        for (effect in effects) {
-            when (effect) {
-                is StoreEffect.ReadObject -> out += CoreEffect.ReadConfig(effect.request, effect.name)
-                is StoreEffect.WriteObject ->
-                    out += CoreEffect.WriteConfig(effect.request, effect.name, effect.value, effect.ifVersion)
-                is StoreEffect.Installed -> {
-                    spread(now, spread.installed(now, effect.tree, effect.records))
-                    install(now, effect.tree)
-                }
-                is StoreEffect.Submitted -> out += CoreEffect.ChangeSubmitted(effect.id, effect.outcome)
-                is StoreEffect.History -> out += CoreEffect.HistoryRead(effect.query, effect.records)
-                is StoreEffect.Unreadable -> out += CoreEffect.ConfigUnreadable(effect.revision, effect.reason)
-            }
-        }
-    }
-
-    private fun spread(now: Long, effects: List<SpreadEffect>) {
-        for (effect in effects) {
-            when (effect) {
-                is SpreadEffect.Send ->
-                    directory.address(effect.to)?.let { out += CoreEffect.SendConfig(it, effect.message) }
-                is SpreadEffect.Installed -> {
-                    store.adopt(now, effect.tree)
-                    install(now, effect.tree)
-                }
-                is SpreadEffect.Unreadable -> out += CoreEffect.ConfigUnreadable(effect.revision, effect.reason)
-            }
-        }
-    }
-
-    private fun install(now: Long, tree: Tree) {
-        if (tree.revision <= (snapshot?.revision ?: 0)) return
-        val config = Snapshot(tree)
-        snapshot = config
-        membership.configured(tree.revision)
+    private fun installed(now: Long, config: Snapshot) {
+        membership.configured(config.revision)
         val holder = shares ?: newShares(now, config)
         holder.configure(now, effectiveLimits(config))
         if (flow == null) flow = newFlow(holder)
-        out += CoreEffect.ConfigInForce(config)
         refresh(now)
-        withFlowHere { requests(now, it.reconfigured(now)) }
+        withFlow { requests(now, it.reconfigured(now)) }
     }
 
     private fun newShares(now: Long, config: Snapshot): ShareHolder {
@@ -417,46 +364,38 @@
 
     private fun newFlow(holder: ShareHolder) = RequestFlow(
         self = self,
-        snapshot = { snapshot },
-        stale = ::stale,
+        snapshot = { config.snapshot },
+        stale = config::stale,
         shares = holder,
         router = router,
         address = { table[it]?.address },
     )
 
-    private fun stale(now: Long, seconds: Long): Boolean {
-        val confirmed = listOfNotNull(store.confirmedNanos, spread.confirmedNanos).maxOrNull() ?: return true
-        return now - confirmed > seconds * 1_000 * MILLI
-    }
-
     /** Brings routes, owners and peers in line after a change of the list, the generation or the configuration. */
     private fun refresh(now: Long) {
-        val config = snapshot
-        router.endpoints(now, table.routed(config))
-        val drained = config?.dataCentres().orEmpty().filterValues { it.state == DataCentreState.DRAINED }.keys
+        val snapshot = config.snapshot
+        router.endpoints(now, table.routed(snapshot))
+        val drained = snapshot?.dataCentres().orEmpty().filterValues { it.state == DataCentreState.DRAINED }.keys
         router.drained(now, drained)
-        spread.peers(directory.live())
+        config.peers(directory.live())
         val generation = membership.generation ?: return
-        table.sync(now, generation, config, options.dataCentre in drained) { id, effects ->
+        table.sync(now, generation, snapshot, options.dataCentre in drained) { id, effects ->
             tickets.owner(now, id, effects)
         }
-        withFlowHere { flow -> requests(now, flow.ownersChanged(now) { !tickets.reachable(it) }) }
+        withFlow { flow -> requests(now, flow.ownersChanged(now) { !tickets.reachable(it) }) }
     }
 
     private inner class OwnAnswers : TicketAnswers {
         override fun granted(now: Long, ask: Long, grant: TicketGrant) {
-            withFlowHere { requests(now, it.granted(now, ask, grant)) }
+            withFlow { requests(now, it.granted(now, ask, grant)) }
         }
 
         override fun denied(now: Long, ask: Long, denial: TicketDenial) {
-            withFlowHere { requests(now, it.denied(now, ask, denial)) }
+            withFlow { requests(now, it.denied(now, ask, denial)) }
         }
     }
 
-    private inline fun withFlow(crossinline step: (RequestFlow) -> Unit): List<CoreEffect> =
-        collect { flow?.let(step) }
-
-    private inline fun withFlowHere(step: (RequestFlow) -> Unit) {
+    private inline fun withFlow(step: (RequestFlow) -> Unit) {
         flow?.let(step)
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/Directory.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/Directory.kt
@@ -5,7 +5,7 @@
  *
  * What it tells about other data centres is a hint: rights there follow from their own leases.
  */
-internal class Directory(private val self: Member, private val dataCentre: DataCentreId) {
+internal class Directory(private val self: Member) {
     private val generations = HashMap<DataCentreId, Generation>()
     private val addresses = HashMap<InstanceId, String>()
     private val members = HashMap<InstanceId, Member>()
@@ -58,8 +58,9 @@
     /** Returns the live members by data centre, this one among them. */
     fun live(): Map<DataCentreId, List<Member>> = generations.mapValues { (_, generation) -> generation.live }
 
-    /** Returns the members outside the own data centre. */
-    fun remote(): Map<DataCentreId, List<Member>> = live().filterKeys { it != dataCentre }
+    /** Returns the names of the live members by data centre. */
+    fun names(): Map<String, List<String>> =
+        generations.entries.associate { (id, known) -> id.name to known.live.map { it.instance.name } }
 
     private companion object {
         const val MAX_DATA_CENTRES = 16
--- a/core/src/main/kotlin/io/camphordrum/core/config/EffectiveSettings.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/config/EffectiveSettings.kt
@@ -16,7 +16,7 @@
     public val priority: Int = 0,
     public val maxOutputTokens: Int = 4_096,
     public val deadlineMillis: Long = 60_000,
-    public val limitWaitMillis: Long = 500,
+    public val limitWaitMillis: Long = 2_000,
     public val queueMillis: Long = 10_000,
     public val keyStalenessSeconds: Long = 3_600,
     public val maxReplicas: Int = 4,
--- a/core/src/main/kotlin/io/camphordrum/core/request/Pending.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/Pending.kt
@@ -4,8 +4,12 @@
 import io.camphordrum.core.AdapterVersion
 import io.camphordrum.core.BaseModelId
 import io.camphordrum.core.CallerRequest
+import io.camphordrum.core.DispatchOrder
 import io.camphordrum.core.EndpointId
+import io.camphordrum.core.Member
 import io.camphordrum.core.config.EffectiveSettings
+import io.camphordrum.core.residency.DenyReason
+import io.camphordrum.core.residency.TicketRequest
 
 /** Names the step a request is at. */
 internal enum class Step { CLAIM, LIMIT, TICKET, RUN }
@@ -65,7 +69,48 @@
     val atMostOnce: Boolean get() = !target.idempotent
 
     val idempotencyKey: String? get() = request.idempotencyKey?.takeIf { atMostOnce }
+
+    /** Returns the ask for a ticket; only the second round over the candidates accepts a long wait. */
+    fun ticketRequest(from: Member): TicketRequest {
+        val settings = target.settings
+        val waitMillis = if (patient || candidates.size == 1) settings.queueMillis else settings.spillWaitMillis
+        return TicketRequest(
+            from = from,
+            request = askId,
+            account = target.account,
+            version = target.version,
+            tokens = target.charge,
+            deadlineNanos = deadlineNanos,
+            priority = settings.priority,
+            maxWaitNanos = waitMillis * MILLI,
+        )
+    }
+
+    /** Returns what stays charged: all when the usage is not known (below 0), nothing before a dispatch. */
+    fun keptCharge(usedTokens: Long): Long = when {
+        dispatches == 0 -> 0
+        target.version == null || usedTokens < 0 -> target.charge
+        else -> minOf(target.charge, usedTokens)
+    }
+
+    fun order(dispatch: String, endpoint: EndpointId, address: String, fencing: Long, timeoutMillis: Long) =
+        DispatchOrder(
+            request = id,
+            dispatch = dispatch,
+            endpoint = endpoint,
+            address = address,
+            version = target.version,
+            fencing = fencing,
+            priority = target.settings.priority,
+            maxTokens = target.maxTokens,
+            timeoutMillis = timeoutMillis,
+        )
 }
 
 /** Collects what owners answered, for the refusal when no candidate is left. */
 internal class Denial(val message: String = "no endpoint can take the request", val retryAfterNanos: Long = 0)
+
+// Denials that the next change of owner or of the configuration can lift.
+internal val RECOVERABLE = setOf(DenyReason.NO_LEASE, DenyReason.LEAVING)
+
+internal const val MILLI = 1_000_000L
--- a/core/src/main/kotlin/io/camphordrum/core/request/Refusals.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/Refusals.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.request
 
+import io.camphordrum.core.Ran
 import io.camphordrum.core.Refusal
 import io.camphordrum.core.RefusalCode
 import io.camphordrum.core.limits.Admission
@@ -25,6 +26,14 @@
     return Refusal(RefusalCode.DEADLINE, message, retryAfterMillis = retryMillis(retryAfterNanos))
 }
 
+internal fun keyWithdrawn() = Refusal(RefusalCode.BAD_KEY, "the key was withdrawn")
+
+internal fun endpointFailed(reason: String) =
+    Refusal(RefusalCode.ENDPOINT_FAILED, "the endpoint failed: $reason", Ran.UNKNOWN)
+
+internal fun deadlineWhileRunning() =
+    Refusal(RefusalCode.DEADLINE, "the deadline passed while the request ran", Ran.UNKNOWN)
+
 private fun retryMillis(nanos: Long): Long = maxOf(SHORTEST_RETRY_MILLIS, (nanos + 999_999) / 1_000_000)
 
 private const val DEFAULT_RETRY_MILLIS = 1_000L
--- a/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/RequestFlow.kt
@@ -2,12 +2,9 @@
 
 import io.camphordrum.core.CallerRequest
 import io.camphordrum.core.DispatchEnd
-import io.camphordrum.core.DispatchOrder
 import io.camphordrum.core.EndpointId
 import io.camphordrum.core.Member
-import io.camphordrum.core.Ran
 import io.camphordrum.core.Refusal
-import io.camphordrum.core.RefusalCode
 import io.camphordrum.core.config.KeyHash
 import io.camphordrum.core.config.Snapshot
 import io.camphordrum.core.limits.ShareHolder
@@ -16,7 +13,6 @@
 import io.camphordrum.core.residency.Router
 import io.camphordrum.core.residency.TicketOutcome
 import io.camphordrum.core.residency.TicketReport
-import io.camphordrum.core.residency.TicketRequest
 
 /**
  * Takes each request from its arrival to its one final answer.
@@ -92,10 +88,7 @@
         val p = pending[id]
         if (p == null || p.step != Step.CLAIM) return@collect
         when (answer) {
-            ClaimAnswer.Proceed -> {
-                p.claimed = true
-                charge(now, p)
-            }
+            ClaimAnswer.Proceed -> charge(now, p.apply { claimed = true })
             is ClaimAnswer.Replay -> {
                 out += RequestEffect.Answer(id, answer.answer)
                 remove(p)
@@ -119,7 +112,7 @@
         val target = address(endpoint)
         p.ticket = grant.ticket
         when {
-            withdrawn(p) -> refuse(now, p, Refusal(RefusalCode.BAD_KEY, "the key was withdrawn"))
+            withdrawn(p) -> refuse(now, p, keyWithdrawn())
             // A later owner may evict the adapter once tickets of this owner can no longer be used to begin.
             now - p.askedAtNanos > grant.startNanos -> nextCandidate(now, p)
             target == null || until - now < settings.shortestRunNanos -> nextCandidate(now, p)
@@ -173,7 +166,7 @@
     public fun reconfigured(now: Long): List<RequestEffect> = collect {
         for (p in pending.values.toList()) {
             if (p.step != Step.RUN && withdrawn(p)) {
-                refuse(now, p, Refusal(RefusalCode.BAD_KEY, "the key was withdrawn"))
+                refuse(now, p, keyWithdrawn())
             }
         }
     }
@@ -232,14 +225,10 @@
     }
 
     private fun candidates(now: Long, p: Pending): List<EndpointId> {
-        val target = p.target
-        val version = target.version
-        val base = target.base
-        return if (version != null && base != null) {
-            router.choose(now, version, base)
-        } else {
-            router.choose(now, target.pool.orEmpty(), p.id)
-        }
+        val version = p.target.version
+        val base = p.target.base
+        if (version != null && base != null) return router.choose(now, version, base)
+        return router.choose(now, p.target.pool.orEmpty(), p.id)
     }
 
     private fun ask(now: Long, p: Pending, endpoint: EndpointId) {
@@ -253,25 +242,7 @@
     }
 
     private fun sendAsk(p: Pending, endpoint: EndpointId) {
-        val target = p.target
-        val millis = if (p.patient || p.candidates.size == 1) {
-            target.settings.queueMillis
-        } else {
-            target.settings.spillWaitMillis
-        }
-        out += RequestEffect.AskOwner(
-            endpoint,
-            TicketRequest(
-                from = self,
-                request = p.askId,
-                account = target.account,
-                version = target.version,
-                tokens = target.charge,
-                deadlineNanos = p.deadlineNanos,
-                priority = target.settings.priority,
-                maxWaitNanos = millis * MILLI,
-            ),
-        )
+        out += RequestEffect.AskOwner(endpoint, p.ticketRequest(self))
     }
 
     private fun nextCandidate(now: Long, p: Pending) {
@@ -309,19 +280,8 @@
         p.claimed = false
         val id = "${self.instance}-${self.incarnation}-${p.id}-${p.dispatches}"
         p.dispatch = id
-        out += RequestEffect.Dispatch(
-            DispatchOrder(
-                request = p.id,
-                dispatch = id,
-                endpoint = endpoint,
-                address = address,
-                version = p.target.version,
-                fencing = grant.fencing,
-                priority = p.target.settings.priority,
-                maxTokens = p.target.maxTokens,
-                timeoutMillis = maxOf(1, (untilNanos - now) / MILLI),
-            ),
-        )
+        val millis = maxOf(1, (untilNanos - now) / MILLI)
+        out += RequestEffect.Dispatch(p.order(id, endpoint, address, grant.fencing, millis))
         wakeAt(p, untilNanos)
     }
 
@@ -354,8 +314,7 @@
             return nextCandidate(now, p)
         }
         settle(now, p, DispatchEnd.UNKNOWN_USAGE)
-        val message = "the endpoint failed: ${end.reason}"
-        out += RequestEffect.Refuse(p.id, Refusal(RefusalCode.ENDPOINT_FAILED, message, Ran.UNKNOWN))
+        out += RequestEffect.Refuse(p.id, endpointFailed(end.reason))
         remove(p)
     }
 
@@ -377,8 +336,7 @@
         out += RequestEffect.CancelDispatch(p.id)
         finishTicket(p, TicketReport(TicketOutcome.UNKNOWN))
         settle(now, p, DispatchEnd.UNKNOWN_USAGE)
-        val message = "the deadline passed while the request ran"
-        out += RequestEffect.Refuse(p.id, Refusal(RefusalCode.DEADLINE, message, Ran.UNKNOWN))
+        out += RequestEffect.Refuse(p.id, deadlineWhileRunning())
         remove(p)
     }
 
@@ -410,10 +368,7 @@
     private fun settle(now: Long, p: Pending, usedTokens: Long) {
         val at = p.chargedAtNanos ?: return
         p.chargedAtNanos = null
-        val charge = p.target.charge
-        val used = if (p.target.version == null || usedTokens < 0) charge else minOf(charge, usedTokens)
-        val kept = if (p.dispatches == 0) 0 else used
-        shares.settle(now, p.target.account, charge, kept, at)
+        shares.settle(now, p.target.account, p.target.charge, p.keptCharge(usedTokens), at)
     }
 
     private fun remove(p: Pending) {
@@ -440,11 +395,4 @@
         step()
         return out
     }
-
-    private companion object {
-        const val MILLI = 1_000_000L
-
-        // Denials that the next change of owner or of the configuration can lift.
-        val RECOVERABLE = setOf(DenyReason.NO_LEASE, DenyReason.LEAVING)
-    }
 }
