Read the platform's watch answers, so that changes reach each data centre

Cause: the platform answers a watch with an object whose member "objects" lists the changes, but the client expected the bare list. Each watch failed and was retried after about a second, and a root watcher reads the root at no other time. Seen: in the process test of withdrawn keys, the daemon alone in its data centre stayed at revision 1 for over 70 s after revision 2 was accepted and went on serving the withdrawn key (836 completions); the stand-in had counted 648 watches. Conclusion: withdrawn keys and changes had not reached a data centre whose daemons had no peer elsewhere that told them in time. How long a change takes now was not measured.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/HttpObjectStore.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/HttpObjectStore.kt
@@ -83,7 +83,8 @@
         if (!answer.status().isSuccess) return WatchOutcome.Unavailable("status ${answer.status()}")
         return decoded(answer, { WatchOutcome.Unavailable(it) }) { text ->
             WatchOutcome.Changed(
-                Json.parseToJsonElement(text).jsonArray.map { it.jsonObject }.associate { entry ->
+                Json.parseToJsonElement(text).jsonObject.getValue("objects").jsonArray.associate { line ->
+                    val entry = line.jsonObject
                     entry.getValue("name").jsonPrimitive.content to entry.getValue("version").jsonPrimitive.long
                 },
             )
