--- a/daemon/src/test/kotlin/io/camphordrum/daemon/SettingsTest.kt
+++ b/daemon/src/test/kotlin/io/camphordrum/daemon/SettingsTest.kt
@@ -54,4 +54,18 @@
             assertContains(assertIs<SettingsResult.Invalid>(result).message, "does-not-exist.json")
         }
     }
+
+    @Nested
+    inner class Page {
+        /** Guards against a field that is added to the settings but not to the operators' page. */
+        @Test
+        fun `every field has a row on the settings page`() {
+            val root = System.getProperty("maven.multiModuleProjectDirectory") ?: ".."
+            val rows = java.nio.file.Files.readAllLines(java.nio.file.Path.of(root, "docs", "settings.md"))
+            val form = Settings.serializer().descriptor
+            val fields = (0 until form.elementsCount).map { form.getElementName(it) }
+            val listed = rows.mapNotNull { Regex("^\\| `(\\w+)` \\|").find(it)?.groupValues?.get(1) }
+            assertEquals(fields, listed)
+        }
+    }
 }
