--- a/daemon/src/test/kotlin/io/camphordrum/daemon/HttpObjectStoreTest.kt
+++ b/daemon/src/test/kotlin/io/camphordrum/daemon/HttpObjectStoreTest.kt
@@ -69,10 +69,10 @@
     @Nested
     inner class Watches {
         @Test
-        fun `a watch names the objects that changed`() {
-            write("membership/a", "one", 0)
+        fun `a watch tells which objects changed and their versions`() {
+            val version = assertIs<WriteEnd.Applied>(write("membership/a", "one", 0)).version
             val changed = assertIs<WatchOutcome.Changed>(watch("membership/", 0, 1_000))
-            assertEquals(setOf("membership/a"), changed.versions.keys)
+            assertEquals(mapOf("membership/a" to version), changed.versions)
         }
 
         @Test
