Apply the log level, and change it without a restart

Cause: logLevel was read and never applied. It is now checked, applied to the daemon's own lines, and changed by POST /v1/log-level on the operator address; calls that change something no longer accept GET.

--- a/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/DecisionCore.kt
@@ -187,11 +187,7 @@
         collect { config.read(now, request, outcome) }
 
     /** Takes the end of writing a configuration object. */
-    public fun configWritten(
-        now: Long,
-        request: Long,
-        outcome: WriteOutcome,
-    ): List<CoreEffect> =
+    public fun configWritten(now: Long, request: Long, outcome: WriteOutcome): List<CoreEffect> =
         collect { config.written(now, request, outcome) }
 
     /** Reads the newest configuration revision from the platform. */
@@ -247,8 +243,7 @@
     )
 
     private fun leaveWhenReleased(now: Long) {
-        val released = shares?.released ?: true
-        if (released && table.owned.all { it.idle }) members(now, membership.leave(now))
+        if (shares?.released != false && table.owned.all { it.idle }) members(now, membership.leave(now))
     }
 
     private fun newOwner(now: Long, endpoint: ListedEndpoint, generation: Generation): EndpointOwner {
@@ -297,14 +292,13 @@
                 is ClaimEffect.WriteShard ->
                     out += CoreEffect.WriteClaims(effect.id, effect.value, effect.expectedVersion)
                 is ClaimEffect.Decision -> withFlow {
-                    requests(now, it.claimed(now, requestOf(effect.attempt), claimAnswer(effect)))
+                    val request = effect.attempt.name.substringAfterLast('/').toLong()
+                    requests(now, it.claimed(now, request, claimAnswer(effect)))
                 }
             }
         }
     }
 
-    private fun requestOf(attempt: AttemptId): Long = attempt.name.substringAfterLast('/').toLong()
-
     private fun members(now: Long, effects: List<MembershipEffect>) {
         for (effect in effects) {
             when (effect) {
@@ -324,12 +318,8 @@
 
     // Returns whether the generation is news. Connections to members that are gone are closed.
     private fun learn(generation: Generation): Boolean {
-        val before = directory.generation(generation.dataCentre)?.members.orEmpty().map { it.peerAddress }
-        if (!directory.learn(generation)) return false
-        for (address in before - generation.members.map { it.peerAddress }.toSet()) {
-            directory.forget(address)
-            out += CoreEffect.ForgetPeer(address)
-        }
+        val gone = directory.learn(generation) ?: return false
+        for (address in gone) out += CoreEffect.ForgetPeer(address)
         return true
     }
 
@@ -404,8 +394,4 @@
         step()
         return ArrayList(out)
     }
-
-    private companion object {
-        const val MILLI = 1_000_000L
-    }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/Directory.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/Directory.kt
@@ -11,14 +11,15 @@
     private val members = HashMap<InstanceId, Member>()
     private val down = HashSet<String>()
 
-    /** Keeps [generation] unless a newer one is known; returns whether it is news. */
-    fun learn(generation: Generation): Boolean {
+    /** Keeps [generation] and returns the addresses that are gone; returns null when a newer one is known. */
+    fun learn(generation: Generation): List<String>? {
         val known = generations[generation.dataCentre]
-        if (known == null && generations.size >= MAX_DATA_CENTRES) return false
-        if (known != null && known.number >= generation.number) return false
+        if (known == null && generations.size >= MAX_DATA_CENTRES) return null
+        if (known != null && known.number >= generation.number) return null
         generations[generation.dataCentre] = generation
         for (member in generation.members) met(member.member, member.peerAddress)
-        return true
+        val addresses = generation.members.map { it.peerAddress }.toSet()
+        return (known?.members.orEmpty().map { it.peerAddress } - addresses).onEach(::forget)
     }
 
     /** Records where [member] is reached. */
@@ -38,8 +39,7 @@
         if (address in addresses.values) down += address
     }
 
-    /** Forgets the members at [address], which have left. */
-    fun forget(address: String) {
+    private fun forget(address: String) {
         val gone = addresses.filterValues { it == address }.keys
         addresses -= gone
         members -= gone
@@ -53,8 +53,6 @@
 
     fun reachable(member: Member): Boolean = member == self || address(member).let { it != null && it !in down }
 
-    fun generation(dataCentre: DataCentreId): Generation? = generations[dataCentre]
-
     /** Returns the live members by data centre, this one among them. */
     fun live(): Map<DataCentreId, List<Member>> = generations.mapValues { (_, generation) -> generation.live }
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Main.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Main.kt
@@ -28,6 +28,7 @@
 private fun run(settings: Settings) {
     // Keeps netty off io_uring, which the users' instances do not allow.
     System.setProperty("com.linecorp.armeria.transportType", "epoll")
+    logLevel(settings.logLevel)?.apply()
     val kernel = Kernel(settings)
     val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/OperatorsPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/OperatorsPlugin.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.daemon
 
 import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
@@ -55,7 +56,8 @@
                 answer(kernel.ask { core, now -> json(CoreStatus.serializer(), core.status(now)) })
             }
             .service("/v1/explain") { ctx, _ -> explain(ctx) }
-            .service("/v1/gone") { ctx, _ -> gone(ctx) }
+            .service("/v1/gone") { ctx, _ -> posted(ctx) { gone(ctx) } }
+            .service("/v1/log-level") { ctx, _ -> posted(ctx) { changeLogLevel(ctx) } }
             .service("/metrics") { _, _ ->
                 HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, kernel.metrics.text())
             }
@@ -159,6 +161,21 @@
         return if (taken) json("{}") else error(HttpStatus.SERVICE_UNAVAILABLE, "the daemon is overloaded")
     }
 
+    private fun posted(ctx: ServiceRequestContext, step: () -> HttpResponse): HttpResponse =
+        if (ctx.method() == HttpMethod.POST) step() else error(HttpStatus.METHOD_NOT_ALLOWED, "expected POST")
+
+    private fun changeLogLevel(ctx: ServiceRequestContext): HttpResponse {
+        val asked = ctx.queryParam("level").orEmpty()
+        val level = logLevel(asked)
+            ?: return error(
+                HttpStatus.BAD_REQUEST,
+                "level: expected ${LogLevel.entries.joinToString()}, but was $asked",
+            )
+        level.apply()
+        log.info { "log_level_changed $level" }
+        return json("{}")
+    }
+
     // A daemon without a generation holds no share of any limit and could only refuse.
     private fun ready(core: DecisionCore): HttpResponse = when {
         kernel.draining -> error(HttpStatus.SERVICE_UNAVAILABLE, "draining")
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Settings.kt
@@ -28,6 +28,7 @@
  * @property shutdownSeconds how long a graceful shutdown waits for running requests.
  * @property loadReportMillis interval between two reads of an endpoint's load page.
  * @property maxBodyBytes largest request body accepted from a caller.
+ * @property logLevel level of the daemon's own log lines; it can be changed later on the operator address.
  * @property ringSlots slots of the ring in front of the decision thread; a power of two.
  */
 @Serializable
@@ -109,6 +110,8 @@
         keySecret.length < MIN_SECRET ->
             "keySecret: expected at least $MIN_SECRET characters, but was ${keySecret.length}"
         Integer.bitCount(ringSlots) != 1 -> "ringSlots: expected a power of two, but was $ringSlots"
+        logLevel(logLevel) == null ->
+            "logLevel: expected one of ${LogLevel.entries.joinToString()}, but was $logLevel"
         !platformUrl.startsWith("http") -> "platformUrl: expected an http or https address, but was $platformUrl"
         loadReportMillis < 10 -> "loadReportMillis: expected at least 10, but was $loadReportMillis"
         else -> seeds.firstOrNull { !it.contains(':') }?.let { "seeds: expected host:port, but was $it" }
--- a/daemon/src/test/kotlin/io/camphordrum/daemon/SettingsTest.kt
+++ b/daemon/src/test/kotlin/io/camphordrum/daemon/SettingsTest.kt
@@ -48,6 +48,12 @@
             assertContains(message, "keySecret: expected at least 8 characters, but was 5")
         }
 
+        @Test
+        fun `an unknown log level names the levels`() {
+            val message = fault(valid.replace("\"dataCentre\"", "\"logLevel\": \"LOUD\", \"dataCentre\""))
+            assertContains(message, "logLevel: expected one of ERROR, WARN, INFO, DEBUG, TRACE, but was LOUD")
+        }
+
         @Test
         fun `a missing file is one message`() {
             val result = Settings.read(java.nio.file.Path.of("does-not-exist.json"))
