Release lost tickets when the endpoint shows their adapter idle

Tickets of a dead holder kept their places at the owners until they expired, up to the request's deadline. A ticket cannot begin a request after its dispatch time, so a report from after that time that shows the adapter idle settles it; so do lost finish messages. The existing test now names its case: engines that do not publish requests by adapter are still settled by the expiry.

--- a/core/src/main/kotlin/io/camphordrum/core/residency/Tickets.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/residency/Tickets.kt
@@ -56,12 +56,23 @@
     /** Counts the tickets that hold a place, apart from those that a report of [then] can tell about. */
     fun active(then: Long): Int = all.values.count { it.expiresNanos > then }
 
-    /** Drops the expired tickets that a report of the state at [then] shows to be unused. */
+    /**
+     * Drops the tickets that a report of the state at [then] shows to be unused.
+     *
+     * A ticket cannot begin a request after its dispatch time. If the endpoint tells that it does not work for the
+     * adapter after that, the request has ended or was never sent: its holder has died, or its message was lost.
+     */
     fun settle(now: Long, then: Long, report: LoadReport) {
-        expired(now)
-            .filter { then > it.expiresNanos + TRANSIT_NANOS && report.showsIdle(it.request.version) }
+        all.values
+            .filter { then > lastUse(it, report) + TRANSIT_NANOS && report.showsIdle(it.request.version) }
             .forEach { remove(now, it.id) }
     }
+
+    private fun lastUse(ticket: Ticket, report: LoadReport): Long = if (report.busy == null) {
+        ticket.expiresNanos
+    } else {
+        minOf(ticket.expiresNanos, ticket.grantedNanos + settings.dispatchNanos)
+    }
 }
 
 /** True when the endpoint certainly runs and queues nothing for [version]. */
--- a/core/src/test/kotlin/io/camphordrum/core/residency/EndpointOwnerTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/residency/EndpointOwnerTest.kt
@@ -22,7 +22,7 @@
             val fixture = OwnerFixture().apply { report("a") }
             fixture.ask(deadlineMillis = 5_000)
             fixture.wait(5_500)
-            fixture.report("a", sampledNanos = fixture.now - 1)
+            fixture.report("a", busy = null, sampledNanos = fixture.now - 1)
             assertEquals(1, fixture.owner.tickets, "a report from before the expiry settles nothing")
             fixture.wait(2_000)
             fixture.report("a", running = 1, busy = setOf("a"))
@@ -32,6 +32,27 @@
             assertEquals(0, fixture.owner.tickets)
         }
 
+        // Guards against a place that stays taken for a minute after its holder has died.
+        @Test fun `a lost ticket is released when the endpoint shows its adapter idle after the dispatch time`() {
+            val fixture = OwnerFixture().apply { report("a") }
+            fixture.ask(deadlineMillis = 60_000)
+            val last = fixture.settings.dispatchNanos / MS
+            fixture.wait(last)
+            fixture.report("a")
+            assertEquals(1, fixture.owner.tickets, "the request can still be on its way")
+            fixture.wait(1_001)
+            fixture.report("a", running = 1, busy = setOf("a"))
+            assertEquals(1, fixture.owner.tickets, "the adapter is busy")
+            fixture.report(
+                "a",
+                running = 1,
+                busy = setOf("b"),
+                sampledNanos =
+                fixture.now + fixture.settings.reportLagNanos + 1,
+            )
+            assertEquals(0, fixture.owner.tickets)
+        }
+
         // Guards against tickets of different owners with the same number.
         @Test fun `ticket numbers of different generations differ`() {
             val fixture = OwnerFixture().apply { report("a") }
