--- a/bench/src/main/kotlin/io/camphordrum/bench/Capacity.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Capacity.kt
@@ -8,6 +8,7 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.io.path.writeText
+import kotlin.system.exitProcess
 
 /** Holds one measured point of a slope. */
 @Serializable
@@ -35,9 +36,11 @@
     val only by parser.option(ArgType.String, "only", description = "one of ${slopes.keys}")
     parser.parse(args)
     require(only == null || only in slopes) { "only: expected one of ${slopes.keys}, but was $only" }
+    var failed = false
     val points = slopes.filterKeys { only == null || it == only }.flatMap { (name, slope) ->
         runCatching(slope).getOrElse {
             System.err.println("capacity: $name failed: ${it.message}")
+            failed = true
             emptyList()
         }
     }
@@ -49,4 +52,5 @@
     }
     directory.resolve("capacity.md").writeText(table)
     println(table)
+    if (failed) exitProcess(1)
 }
