Check the key in one place before a request is resolved

Cause: both kinds of request repeated the same check, and Exchange kept a property that nothing reads.

--- a/core/src/main/kotlin/io/camphordrum/core/request/Resolver.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/request/Resolver.kt
@@ -24,15 +24,17 @@
  * @param stale whether the configuration is older than the given number of seconds.
  */
 internal class Resolver(private val stale: (now: Long, seconds: Long) -> Boolean) {
-    fun resolve(now: Long, snapshot: Snapshot, request: CallerRequest): Resolved = when (val work = request.work) {
-        is Work.Completion -> completion(now, snapshot, request, work)
-        is Work.Call -> call(now, snapshot, request, work)
+    fun resolve(now: Long, snapshot: Snapshot, request: CallerRequest): Resolved {
+        // An unknown key learns nothing about which adapters and routes exist.
+        val bad = keyFault(snapshot, request)
+        if (bad != null) return bad
+        return when (val work = request.work) {
+            is Work.Completion -> completion(now, snapshot, request, work)
+            is Work.Call -> call(now, snapshot, request, work)
+        }
     }
 
     private fun completion(now: Long, snapshot: Snapshot, request: CallerRequest, work: Work.Completion): Resolved {
-        // An unknown key learns nothing about which adapters exist.
-        val bad = keyFault(snapshot, request)
-        if (bad != null) return bad
         val found = when (val resolution = snapshot.resolve(work.model)) {
             is ModelResolution.Found -> resolution
             ModelResolution.UnknownAdapter -> return refused(RefusalCode.NOT_FOUND, "no adapter is named ${work.model}")
@@ -61,8 +63,6 @@
     }
 
     private fun call(now: Long, snapshot: Snapshot, request: CallerRequest, work: Work.Call): Resolved {
-        val bad = keyFault(snapshot, request)
-        if (bad != null) return bad
         val found = when (val resolution = snapshot.route(work.path)) {
             is RouteResolution.Found -> resolution
             RouteResolution.NoRoute -> return refused(RefusalCode.NOT_FOUND, "no route for ${work.path}")
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Exchange.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Exchange.kt
@@ -39,9 +39,6 @@
     @Volatile
     var callerGone = false
 
-    /** Returns whether a part of an answer has been sent. */
-    val started: Boolean get() = answer.isDone
-
     /** Ends the exchange with a refusal; a stream that has begun gets an explicit error event. */
     @Synchronized
     fun refuse(refusal: Refusal) {
