--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointBook.kt
@@ -0,0 +1,130 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.EndpointId
+import io.camphordrum.core.Member
+
+/**
+ * Knows all endpoints by their registrations, by what their owners say and by how they answered.
+ *
+ * An endpoint whose record vanished while the store could not be read stays until [RETURN_NANOS] after the store
+ * answers again; otherwise it is gone at once.
+ */
+internal class EndpointBook(private val options: ServingOptions, private val peers: PeerTable) {
+    private val states = LinkedHashMap<EndpointId, EndpointState>()
+    private val versions = HashMap<Pair<String, String>, Int>()
+    private var closed = emptySet<DataCentreId>()
+
+    val all: Collection<EndpointState> get() = states.values
+
+    fun get(id: EndpointId): EndpointState? = states[id]
+
+    /** Takes over the whole list; [afterGap] says that records may have lapsed while the store was away. */
+    fun replace(now: Long, records: Collection<EndpointRecord>, afterGap: Boolean): List<EndpointId> {
+        val named = records.mapTo(HashSet()) { it.id }
+        val gone = ArrayList<EndpointId>()
+        for (state in states.values) {
+            if (state.id in named) continue
+            if (afterGap) state.missingSinceNanos = state.missingSinceNanos ?: now else gone += state.id
+        }
+        gone.forEach(::remove)
+        records.forEach { put(now, it) }
+        return gone
+    }
+
+    fun put(now: Long, record: EndpointRecord) {
+        val known = states[record.id]
+        val state = known ?: EndpointState(record).also { states[record.id] = it }
+        val restarted = known != null && known.record.startedEpochMillis != record.startedEpochMillis
+        state.missingSinceNanos = null
+        state.record = record
+        state.coldUntilNanos = if (record.coldMillis > 0) now + record.coldMillis * 1_000_000 else minOf(state.coldUntilNanos, now)
+        if (restarted) state.held.clear()
+        val ownerKnows = state.owner != null && now - state.ownerHeardNanos < OWNER_NANOS
+        if (!ownerKnows || restarted || known == null) {
+            state.held.clear()
+            for (model in record.held) state.held[model.base] = HashMap(model.adapters)
+        } else {
+            // The owner knows more of adapters; base models change rarely and are registered at once.
+            state.held.keys.retainAll(record.held.mapTo(HashSet()) { it.base })
+            for (model in record.held) state.held.getOrPut(model.base) { HashMap(model.adapters) }
+        }
+    }
+
+    fun missing(now: Long, id: EndpointId) {
+        states[id]?.let { it.missingSinceNanos = it.missingSinceNanos ?: now }
+    }
+
+    fun remove(id: EndpointId) {
+        states.remove(id)
+    }
+
+    /** Drops endpoints that are still missing after the store's return; returns them. */
+    fun expire(now: Long): List<EndpointId> {
+        val gone = states.values.filter { state -> state.missingSinceNanos?.let { now - it > RETURN_NANOS } == true }
+        gone.forEach { remove(it.id) }
+        return gone.map { it.id }
+    }
+
+    fun close(zones: Set<DataCentreId>) {
+        closed = zones
+    }
+
+    fun announce(all: Map<Pair<String, String>, Int>) {
+        for ((name, version) in all) versions.merge(name, version, ::maxOf)
+    }
+
+    fun announced(base: String?, adapter: String?): Int? =
+        if (base == null || adapter == null) null else versions[base to adapter]
+
+    fun mayServe(state: EndpointState): Boolean = !state.record.draining && state.record.dataCentre !in closed
+
+    fun usable(now: Long, service: String, excluded: Set<EndpointId>): List<EndpointState> =
+        states.values.filter { it.record.service == service && it.id !in excluded && mayServe(it) }
+
+    fun ownerReachable(now: Long, state: EndpointState): Boolean {
+        val owner = state.owner ?: return false
+        return owner == options.self.instance.name || (now - state.ownerHeardNanos < OWNER_NANOS && peers.live(now, owner))
+    }
+
+    /** Requests that this daemon may send to one cold endpoint in a second: an even part of the fleet's bound. */
+    fun coldShare(service: ServedService): Double {
+        if (service.coldRequestsPerSecond <= 0) return Double.MAX_VALUE
+        val bound = service.coldRequestsPerSecond * options.coldFactor + options.coldSlack
+        return maxOf(1.0, COLD_PART * bound / peers.known)
+    }
+
+    /** Takes over what the daemon [from] says about the endpoints that it owns and uses. */
+    fun heard(now: Long, from: Member, notice: ServingNotice) {
+        val daemon = from.instance.name
+        val loads = notice.load.associateBy { it.endpoint }
+        val owned = notice.owned.associateBy { it.endpoint }
+        for (state in states.values) {
+            state.peer(now, daemon, loads[state.id.name])
+            val mine = owned[state.id.name]
+            if (mine == null) {
+                if (state.owner == daemon) state.owner = null
+                continue
+            }
+            owned(now, state, daemon, mine)
+        }
+    }
+
+    fun owned(now: Long, state: EndpointState, daemon: String, what: OwnedEndpoint) {
+        state.owner = daemon
+        state.ownerHeardNanos = now
+        state.ownerQueue = what.queued
+        val base = what.base ?: return
+        if (base in state.held) state.held[base] = HashMap(what.adapters)
+    }
+
+    private companion object {
+        const val RETURN_NANOS = 2_000_000_000L
+
+        // Three notices between data centres.
+        const val OWNER_NANOS = 1_600_000_000L
+
+        // Below the bound, because sends of one second may arrive in another.
+        const val COLD_PART = 0.85
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
@@ -0,0 +1,128 @@
+package io.camphordrum.core.serving
+
+import kotlin.math.pow
+
+/** Tracks one endpoint as this daemon sees it: what it holds, what is under way there and how it answered lately. */
+internal class EndpointState(var record: EndpointRecord) {
+    private class PeerLoad(val load: EndpointLoad, val heardNanos: Long)
+
+    val id get() = record.id
+
+    /** Base model held, and the adapters of it with their versions. */
+    val held = HashMap<String, HashMap<String, Int>>()
+
+    /** Daemon that says it gives this endpoint's orders, when it said so last, and how many loads wait there. */
+    var owner: String? = null
+    var ownerHeardNanos = 0L
+    var ownerQueue = 0
+
+    /** Requests of this daemon whose answer has begun, and those whose answer has not, by request id. */
+    val running = HashMap<String, Work>()
+    val waiting = HashMap<String, Work>()
+
+    var coldUntilNanos = 0L
+    private val peers = HashMap<String, PeerLoad>()
+    private val coldSends = ArrayDeque<Long>()
+    private var failureRate = 0.0
+    private var failureNanos = 0L
+    private var darkUntilNanos = Long.MIN_VALUE
+    private var darkTimes = 0
+
+    /** How many times longer than expected first events take here. */
+    var slowness = 1.0
+        private set
+
+    /** When the record last said something, for records that vanish. */
+    var missingSinceNanos: Long? = null
+
+    fun peer(now: Long, daemon: String, load: EndpointLoad?) {
+        if (load == null) peers.remove(daemon) else peers[daemon] = PeerLoad(load, now)
+    }
+
+    fun runningEverywhere(now: Long): Int = running.size + fresh(now).sumOf { it.running }
+
+    fun waitingEverywhere(now: Long): Int = waiting.size + fresh(now).sumOf { it.waiting }
+
+    fun pendingTokens(now: Long): Int =
+        waiting.values.sumOf { it.promptTokens } + fresh(now).sumOf { it.pendingTokens }
+
+    fun adaptersInUse(now: Long): Set<String> {
+        val used = HashSet<String>()
+        for (work in running.values) work.adapter?.let(used::add)
+        for (work in waiting.values) work.adapter?.let(used::add)
+        for (load in fresh(now)) used += load.adapters
+        return used
+    }
+
+    fun holds(base: String, adapter: String?, version: Int?): Boolean {
+        val adapters = held[base] ?: return false
+        if (adapter == null) return true
+        val has = adapters[adapter] ?: return false
+        return version == null || has >= version
+    }
+
+    fun dark(now: Long): Boolean = now < darkUntilNanos
+
+    /** Notes that the endpoint did not answer at all; it is tried again after a time that doubles. */
+    fun silent(now: Long) {
+        darkTimes = minOf(darkTimes + 1, MAX_DARK_DOUBLINGS)
+        darkUntilNanos = now + (FIRST_DARK_NANOS shl (darkTimes - 1))
+        failed(now)
+    }
+
+    fun failed(now: Long) {
+        failureRate = failures(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT
+        failureNanos = now
+    }
+
+    fun succeeded(now: Long) {
+        failureRate = failures(now) * (1 - FAILURE_WEIGHT)
+        failureNanos = now
+        darkTimes = 0
+        darkUntilNanos = Long.MIN_VALUE
+    }
+
+    /** Share of recent requests that failed; it fades, so that the endpoint is tried again. */
+    fun failures(now: Long): Double = failureRate * 0.5.pow((now - failureNanos) / FAILURE_HALF_LIFE_NANOS)
+
+    fun firstPart(expectedMillis: Double, actualMillis: Double) {
+        val ratio = (actualMillis / maxOf(MIN_EXPECTED_MILLIS, expectedMillis)).coerceIn(0.3, 8.0)
+        slowness = (slowness * (1 - SLOWNESS_WEIGHT) + SLOWNESS_WEIGHT * ratio * slowness.coerceIn(0.5, 4.0))
+            .coerceIn(0.5, 6.0)
+    }
+
+    /** Whether one more request may be sent this second while the endpoint is cold. */
+    fun coldRoom(now: Long, perSecond: Double): Boolean {
+        if (now >= coldUntilNanos) return true
+        while (coldSends.isNotEmpty() && now - coldSends.first() > COLD_WINDOW_NANOS) coldSends.removeFirst()
+        return coldSends.size + 1 <= perSecond
+    }
+
+    fun sent(now: Long) {
+        coldSends.addLast(now)
+        while (coldSends.size > MAX_COLD_SENDS) coldSends.removeFirst()
+    }
+
+    private fun fresh(now: Long): List<EndpointLoad> =
+        peers.values.filter { now - it.heardNanos < PEER_LOAD_NANOS }.map { it.load }
+
+    private companion object {
+        // Two trials a second of an endpoint that does not answer find its return soon and cost few connections.
+        const val FIRST_DARK_NANOS = 500_000_000L
+        const val MAX_DARK_DOUBLINGS = 3
+
+        const val FAILURE_WEIGHT = 0.2
+        const val FAILURE_HALF_LIFE_NANOS = 2e9
+        const val SLOWNESS_WEIGHT = 0.1
+
+        // Shorter expectations are dominated by network and step times.
+        const val MIN_EXPECTED_MILLIS = 60.0
+
+        // A little over the second that the bound names, because sends and arrivals are counted apart.
+        const val COLD_WINDOW_NANOS = 1_150_000_000L
+        const val MAX_COLD_SENDS = 256
+
+        // Three notices between data centres; older loads say nothing.
+        const val PEER_LOAD_NANOS = 1_600_000_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
@@ -0,0 +1,132 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.Clock
+import io.camphordrum.core.EndpointId
+import kotlin.math.abs
+
+/**
+ * Holds this daemon's rights to order endpoints, so that two daemons never order one endpoint within a lease.
+ *
+ * A right is usable for [VALID_NANOS] after the start of the last read of the store that showed it. Whoever takes a
+ * right writes it first; every read that starts later shows the new holder, so the old one stops within [VALID_NANOS],
+ * and the new one waits for that time and the lease. Endpoints do not check tokens, so time alone separates holders.
+ *
+ * The steady clock stands still while an instance is suspended. A right therefore counts only while the time of day has
+ * moved on by as much as the steady clock since that read; after any other step it is read again first.
+ */
+internal class OrderRights(
+    private val options: ServingOptions,
+    private val machine: String,
+    private val clock: Clock,
+    private val store: RightStore,
+) {
+    private class Mine(val token: Long, val usableFromNanos: Long, var readNanos: Long, var readEpochMillis: Long)
+
+    private val mine = HashMap<EndpointId, Mine>()
+    private var stored: Map<String, StoredRight>? = null
+    private var listing = false
+    private var listedNanos = Long.MIN_VALUE
+    private val writing = HashSet<EndpointId>()
+
+    /** Set once this daemon gives up its rights and takes no more. */
+    var leaving = false
+
+    val held: Set<EndpointId> get() = mine.keys
+
+    fun token(endpoint: EndpointId): Long? = mine[endpoint]?.token
+
+    /** Whether an order may be sent to [endpoint] right now. */
+    fun usable(now: Long, endpoint: EndpointId): Boolean {
+        val right = mine[endpoint] ?: return false
+        if (leaving || now < right.usableFromNanos || now - right.readNanos > VALID_NANOS) return false
+        val stepMillis = (clock.epochMillis() - right.readEpochMillis) - (now - right.readNanos) / NANOS_PER_MILLI
+        return abs(stepMillis) <= STEP_MILLIS
+    }
+
+    /** Reads the rights again unless a read is under way. */
+    fun refresh(now: Long) {
+        if (listing) return
+        listing = true
+        listedNanos = now
+        val startedMillis = clock.epochMillis()
+        store.list { rights ->
+            listing = false
+            if (rights != null) listed(now, startedMillis, rights)
+        }
+    }
+
+    fun now(): Long = clock.nanos()
+
+    /** Whether the rights were not read for [nanos]. */
+    fun older(now: Long, nanos: Long): Boolean = !listing && now - listedNanos > nanos
+
+    /**
+     * Takes the right to [endpoint] when nobody holds it, this machine did before, or its holder is not live.
+     *
+     * @param live tells whether the daemon of a machine was heard lately.
+     */
+    fun claim(now: Long, endpoint: EndpointId, preferred: Boolean, live: (machine: String) -> Boolean) {
+        val rights = stored ?: return
+        if (leaving || endpoint in mine || endpoint in writing) return
+        val before = rights[endpoint.name]
+        val own = before?.right?.machine == machine
+        val free = before == null || before.right.released || !live(before.right.machine)
+        if (!own && !(preferred && free)) return
+        take(now, endpoint, before, own)
+    }
+
+    private fun take(now: Long, endpoint: EndpointId, before: StoredRight?, own: Boolean) {
+        val right = EndpointRight(machine, options.self.incarnation, (before?.right?.token ?: 0) + 1)
+        val startedMillis = clock.epochMillis()
+        writing += endpoint
+        store.put(endpoint.name, right, before?.revision) { end ->
+            writing -= endpoint
+            when (end) {
+                is RightEnd.Stored -> {
+                    stored = stored.orEmpty() + (endpoint.name to StoredRight(right, end.revision))
+                    // Counted from the answer, because the write may have taken effect at any moment before it.
+                    val wait = if (before == null || own) 0 else VALID_NANOS + options.leaseMillis * NANOS_PER_MILLI + MARGIN_NANOS
+                    mine[endpoint] = Mine(right.token, clock.nanos() + wait, now, startedMillis)
+                }
+                RightEnd.Conflict, RightEnd.Unknown -> refresh(clock.nanos())
+            }
+        }
+    }
+
+    /** Gives up all rights; the store tells the others. */
+    fun release() {
+        leaving = true
+        for (endpoint in mine.keys.toList()) {
+            val known = stored?.get(endpoint.name) ?: continue
+            store.put(endpoint.name, known.right.copy(released = true), known.revision) {}
+        }
+        mine.clear()
+    }
+
+    private fun listed(startedNanos: Long, startedMillis: Long, rights: Map<String, StoredRight>) {
+        stored = rights
+        for (endpoint in mine.keys.toList()) {
+            val right = mine.getValue(endpoint)
+            val seen = rights[endpoint.name]?.right
+            if (seen == null || seen.machine != machine || seen.token != right.token) {
+                mine -= endpoint
+            } else {
+                right.readNanos = startedNanos
+                right.readEpochMillis = startedMillis
+            }
+        }
+    }
+
+    internal companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+
+        // Longer bears longer outages of the store, shorter passes the orders of a dead daemon on sooner.
+        const val VALID_NANOS = 2_500_000_000L
+
+        // Drift of steady clocks and the way of an order to its endpoint.
+        const val MARGIN_NANOS = 300_000_000L
+
+        // A step of the time of day, or a suspension; well below the time that a lease bears.
+        const val STEP_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
@@ -0,0 +1,88 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.Member
+
+/** Names a daemon that has registered itself. */
+public data class RegisteredDaemon(
+    public val member: Member,
+    public val dataCentre: DataCentreId,
+    public val peerAddress: String,
+)
+
+/** Knows the other daemons: who is registered, whom this daemon hears, and whose charges it knows through others. */
+internal class PeerTable(private val self: Member) {
+    private class Heard(val member: Member, var number: Long, var nanos: Long, var charged: Map<String, Long>)
+
+    private val registered = HashMap<String, RegisteredDaemon>()
+    private val direct = HashMap<String, Long>()
+    private val charges = HashMap<String, Heard>()
+
+    // For each other daemon, the ages of the notices that it has of all.
+    private val heardBy = HashMap<String, Map<String, Long>>()
+
+    /** Daemons that are registered, this one included. */
+    val known: Int get() = maxOf(1, registered.size + if (self.instance.name in registered) 0 else 1)
+
+    val others: List<RegisteredDaemon> get() = registered.values.filter { it.member.instance != self.instance }
+
+    fun registered(daemons: Collection<RegisteredDaemon>) {
+        registered.clear()
+        daemons.associateByTo(registered) { it.member.instance.name }
+    }
+
+    /** Notes a notice that came from [member] itself. */
+    fun heard(now: Long, notice: ServingNotice): Boolean {
+        direct[notice.sender.instance.name] = now
+        heardBy[notice.sender.instance.name] = notice.heard
+        return learn(now, notice.sender, notice.number, notice.charged)
+    }
+
+    /** Whether [daemon], which this daemon hears, has not heard this one for a while: the way there is broken. */
+    fun unheardBy(now: Long, daemon: String): Boolean {
+        val ages = heardBy[daemon] ?: return false
+        if (!live(now, daemon)) return false
+        return (ages[self.instance.name] ?: return false) > UNHEARD_MILLIS
+    }
+
+    /** Notes charges that came directly or through another daemon; returns whether they are new. */
+    fun learn(heardNanos: Long, member: Member, number: Long, charged: Map<String, Long>): Boolean {
+        if (member.instance == self.instance) return false
+        val before = charges[member.instance.name]
+        val newer = before == null || before.member.incarnation < member.incarnation ||
+            (before.member.incarnation == member.incarnation && before.number < number)
+        if (newer) charges[member.instance.name] = Heard(member, number, heardNanos, charged)
+        return newer
+    }
+
+    fun live(now: Long, daemon: String): Boolean =
+        daemon == self.instance.name || direct[daemon]?.let { now - it < LIVE_NANOS } == true
+
+    fun liveDaemons(now: Long): List<RegisteredDaemon> = registered.values.filter { live(now, it.member.instance.name) }
+
+    /** Daemons whose charges are known well enough to count together with them, this one included. */
+    fun reachable(now: Long): Int = 1 + others.count { other ->
+        charges[other.member.instance.name]?.let { now - it.nanos < COUNTED_NANOS } == true
+    }
+
+    fun heardAges(now: Long): Map<String, Long> = direct.mapValues { (_, nanos) -> (now - nanos) / 1_000_000 }
+
+    /** Charges that [receiver] does not hear itself. */
+    fun relays(now: Long, receiver: String): List<RelayedCharges> {
+        val ages = heardBy[receiver] ?: return emptyList()
+        return charges.values
+            .filter { it.member.instance.name != receiver && now - it.nanos < COUNTED_NANOS }
+            .filter { (ages[it.member.instance.name] ?: Long.MAX_VALUE) > UNHEARD_MILLIS }
+            .map { RelayedCharges(it.member, it.number, (now - it.nanos) / 1_000_000, it.charged) }
+    }
+
+    private companion object {
+        // Three notices between data centres.
+        const val LIVE_NANOS = 1_600_000_000L
+
+        // A daemon that was not heard for this long may have charged more than the slack of a quota bears.
+        const val COUNTED_NANOS = 1_300_000_000L
+
+        const val UNHEARD_MILLIS = 1_100L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
@@ -0,0 +1,85 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.EndpointId
+import io.camphordrum.core.Rendezvous
+
+/**
+ * Chooses the endpoint at which a request gets the first part of its answer soonest.
+ *
+ * The time at an endpoint is what waits there, the load of the adapter where it is not held, and penalties for another
+ * data centre and for recent failures. The rendezvous rank of the adapter breaks ties, so that daemons agree on where a
+ * rare adapter lives without asking each other.
+ */
+internal class Placer(private val dataCentre: DataCentreId, private val book: EndpointBook) {
+    /** Names an endpoint, what is expected of it, and whether its adapter must be brought first. */
+    class Choice(val state: EndpointState, val millis: Double, val load: Boolean)
+
+    fun choose(now: Long, work: Work, service: ServedService, excluded: Set<EndpointId>, noLoad: Set<EndpointId>): Choice? {
+        val version = book.announced(work.base, work.adapter)
+        val usable = book.usable(now, work.service, excluded)
+        val lit = usable.filterNot { it.dark(now) }.ifEmpty { usable }
+        return lit.mapNotNull { choice(now, work, service, version, it, noLoad) }.minByOrNull { it.millis }
+    }
+
+    private fun choice(
+        now: Long,
+        work: Work,
+        service: ServedService,
+        version: Int?,
+        state: EndpointState,
+        noLoad: Set<EndpointId>,
+    ): Choice? {
+        if (!state.coldRoom(now, book.coldShare(service))) return null
+        val penalty = penalty(now, work, state)
+        val engine = service.engine
+            ?: return Choice(state, plainMillis(now, state) + penalty, load = false)
+        val base = work.base ?: engine.baseModels.firstOrNull()?.name ?: return null
+        if (base !in state.held) return null
+        val wait = engineMillis(now, work, engine, state) + penalty
+        if (state.holds(base, work.adapter, version)) return Choice(state, wait, load = false)
+        if (state.id in noLoad || !book.ownerReachable(now, state)) return null
+        val rank = Rendezvous.mix(Rendezvous.hash(work.adapter.orEmpty()), Rendezvous.hash(state.id.name)) ushr RANK_SHIFT
+        return Choice(state, wait + LOAD_MILLIS * (1 + state.ownerQueue) + rank * RANK_MILLIS, load = true)
+    }
+
+    private fun penalty(now: Long, work: Work, state: EndpointState): Double {
+        val away = if (state.record.dataCentre == dataCentre) 0.0 else AWAY_MILLIS
+        return away + state.failures(now) * FAILURE_TARGETS * work.route.targetMillis
+    }
+
+    private fun plainMillis(now: Long, state: EndpointState): Double {
+        val open = state.runningEverywhere(now) + state.waitingEverywhere(now)
+        val slots = maxOf(1, state.record.slots)
+        return PLAIN_MILLIS * state.slowness * (open.toDouble() / slots + maxOf(0, open + 1 - slots))
+    }
+
+    private fun engineMillis(now: Long, work: Work, engine: EngineLimits, state: EndpointState): Double {
+        val waiting = state.waitingEverywhere(now)
+        val beyond = state.runningEverywhere(now) + waiting + 1 - engine.batchSlots
+        val tokens = state.pendingTokens(now) + work.promptTokens
+        val running = state.runningEverywhere(now)
+        val reading = tokens / TOKENS_PER_MILLI + STEP_MILLIS + running * STEP_MILLIS_PER_RUN
+        return reading * state.slowness + maxOf(0, beyond) * RUN_MILLIS / engine.batchSlots
+    }
+
+    private companion object {
+        // Weights of the estimate; what an engine really takes is learned as its slowness.
+        const val TOKENS_PER_MILLI = 20.0
+        const val STEP_MILLIS = 10.0
+        const val STEP_MILLIS_PER_RUN = 1.0
+        const val RUN_MILLIS = 2_000.0
+        const val PLAIN_MILLIS = 60.0
+
+        // The sheets of both deployments: an adapter takes 250 ms while few are under way.
+        const val LOAD_MILLIS = 250.0
+
+        // Bytes between data centres are dear; a small wait at home is better.
+        const val AWAY_MILLIS = 60.0
+        const val FAILURE_TARGETS = 1.5
+
+        // The top 3 bits: up to 7 ranks of 8 ms, below one load.
+        const val RANK_SHIFT = 61
+        const val RANK_MILLIS = 8.0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServedService.kt
@@ -0,0 +1,30 @@
+package io.camphordrum.core.serving
+
+/**
+ * Describes the endpoints of one service.
+ *
+ * @property coldRequestsPerSecond requests that a cold endpoint bears; 0 means that cold endpoints need no care.
+ * @property engine what its engines hold; null for plain services.
+ */
+public data class ServedService(
+    public val name: String,
+    public val connectionLimit: Int,
+    public val coldRequestsPerSecond: Double,
+    public val engine: EngineLimits? = null,
+)
+
+/**
+ * Bounds what one engine of a service holds.
+ *
+ * @property batchSlots requests that run at once.
+ * @property adapterPlaces adapters that may be held or under way at once.
+ * @property baseModels models that the service's endpoints may hold.
+ */
+public data class EngineLimits(
+    public val batchSlots: Int,
+    public val adapterPlaces: Int,
+    public val baseModels: List<BaseModel>,
+)
+
+/** Names a base model and how long an engine takes to load it from the weight store. */
+public data class BaseModel(public val name: String, public val loadMillis: Long)
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingConfig.kt
@@ -0,0 +1,34 @@
+package io.camphordrum.core.serving
+
+/**
+ * Holds one version of what is served to whom.
+ *
+ * ```kotlin
+ * val route = config.route("reports.example", "/drafts/7") ?: return notFound()
+ * ```
+ */
+public class ServingConfig(
+    public val version: Long,
+    routes: List<ServingRoute>,
+    services: List<ServedService>,
+    accounts: List<ServedAccount>,
+    public val limits: CallerLimits,
+) {
+    // The longest prefix first, so that the first match wins.
+    private val routesByHost = routes.groupBy { it.host.lowercase() }
+        .mapValues { (_, list) -> list.sortedByDescending { it.pathPrefix.length } }
+    private val accountsByKey = accounts.flatMap { account -> account.keys.map { it to account } }.toMap()
+
+    /** Services by name. */
+    public val services: Map<String, ServedService> = services.associateBy { it.name }
+
+    /** All accounts; empty means that no route needs a key. */
+    public val accounts: List<ServedAccount> = accounts
+
+    /** Returns the route with the longest prefix of [host] that begins [path], or null. */
+    public fun route(host: String, path: String): ServingRoute? =
+        routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    /** Returns the account that holds [key], or null. */
+    public fun account(key: String): ServedAccount? = accountsByKey[key]
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -0,0 +1,90 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.Member
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Carries what daemons of the serving path tell each other; loss is allowed. */
+@Serializable
+public sealed interface ServingMessage {
+    /** Asks the daemon that orders [endpoint]'s loads for an adapter. */
+    @Serializable
+    @SerialName("a")
+    public data class LoadAsk(
+        @SerialName("e") public val endpoint: String,
+        @SerialName("b") public val base: String,
+        @SerialName("a") public val adapter: String,
+        @SerialName("v") public val version: Int?,
+        @SerialName("w") public val waitMillis: Long,
+    ) : ServingMessage
+
+    /** Tells whether [endpoint] holds the adapter that was asked for; [reason] says why not. */
+    @Serializable
+    @SerialName("l")
+    public data class LoadEnd(
+        @SerialName("e") public val endpoint: String,
+        @SerialName("a") public val adapter: String,
+        @SerialName("v") public val version: Int?,
+        @SerialName("r") public val reason: String? = null,
+    ) : ServingMessage
+}
+
+/**
+ * Tells what a daemon charged, sends and owns; sent to every other daemon at a fixed interval.
+ *
+ * @property number grows with every notice of one incarnation.
+ * @property charged tokens charged to accounts since the sender's start.
+ * @property load what the sender has under way at endpoints.
+ * @property owned endpoints whose orders the sender gives, and what they hold.
+ * @property heard age in milliseconds of the newest notice that the sender has of each daemon.
+ * @property relayed what others charged, so that daemons that cannot reach each other still count together.
+ */
+@Serializable
+@SerialName("n")
+public data class ServingNotice(
+    @SerialName("s") public val sender: Member,
+    @SerialName("n") public val number: Long,
+    @SerialName("c") public val charged: Map<String, Long>,
+    @SerialName("l") public val load: List<EndpointLoad>,
+    @SerialName("o") public val owned: List<OwnedEndpoint>,
+    @SerialName("h") public val heard: Map<String, Long>,
+    @SerialName("r") public val relayed: List<RelayedCharges>,
+) : ServingMessage
+
+/**
+ * Tells what one daemon has under way at one endpoint.
+ *
+ * @property running requests whose answer has begun.
+ * @property pendingTokens prompt tokens of requests whose answer has not begun.
+ * @property adapters adapters of all of them.
+ */
+@Serializable
+public data class EndpointLoad(
+    @SerialName("e") public val endpoint: String,
+    @SerialName("r") public val running: Int,
+    @SerialName("w") public val waiting: Int,
+    @SerialName("t") public val pendingTokens: Int,
+    @SerialName("a") public val adapters: List<String>,
+)
+
+/**
+ * Tells what an endpoint holds by the daemon that gives its orders.
+ *
+ * @property queued loads that wait or are under way.
+ */
+@Serializable
+public data class OwnedEndpoint(
+    @SerialName("e") public val endpoint: String,
+    @SerialName("b") public val base: String?,
+    @SerialName("a") public val adapters: Map<String, Int>,
+    @SerialName("q") public val queued: Int,
+)
+
+/** Passes on what [member] had charged when it sent its notice [number], [ageMillis] ago. */
+@Serializable
+public data class RelayedCharges(
+    @SerialName("m") public val member: Member,
+    @SerialName("n") public val number: Long,
+    @SerialName("g") public val ageMillis: Long,
+    @SerialName("c") public val charged: Map<String, Long>,
+)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/PeersPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/PeersPlugin.kt
@@ -53,7 +53,8 @@
                 is PeerMessage.Ticket -> core.receive(now, from, message.message)
                 is PeerMessage.Config -> core.receive(now, from, message.message)
                 is PeerMessage.Residency -> core.receive(now, from, message.message)
-                is Hello -> emptyList()
+                // Daemons of the serving path are a fleet of their own and never meet this one.
+                is PeerMessage.Serving, is Hello -> emptyList()
             }
         }
     }
--- /dev/null
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerExchange.kt
@@ -0,0 +1,137 @@
+package io.camphordrum.daemon.edge
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import java.nio.charset.StandardCharsets.ISO_8859_1
+import java.nio.charset.StandardCharsets.US_ASCII
+
+/**
+ * Carries one request of a caller and its answer; used on the event loop of its connection only.
+ *
+ * Exactly one of [answer], [abort] and the pair of [begin] and [end] finishes it. [onGone] runs when the caller's
+ * connection closes before that.
+ */
+class CallerExchange internal constructor(
+    private val context: ChannelHandlerContext,
+    val head: CallerHead,
+    val body: ByteBuf,
+    private val keepAlive: Boolean,
+    private val http10: Boolean,
+    private val draining: () -> Boolean,
+    private val onFinished: (close: Boolean) -> Unit,
+) {
+    /** Called once if the caller leaves before its answer is whole. */
+    var onGone: () -> Unit = {}
+
+    /** Called when the connection accepts bytes again after [write] returned false. */
+    var onWritable: () -> Unit = {}
+
+    /** Whether the head of the answer was written. */
+    var begun = false
+        private set
+
+    private var finished = false
+    private var chunked = false
+    private var closeAfter = false
+
+    /** Writes a whole answer. */
+    fun answer(status: Int, reason: String, headers: List<Pair<String, String>>, content: ByteBuf) {
+        if (finished) {
+            content.release()
+            return
+        }
+        begun = true
+        closeAfter = !keepAlive || draining()
+        val out = context.alloc().buffer(HEAD_BYTES + content.readableBytes())
+        writeHead(out, status, reason, headers)
+        val empty = status == NO_CONTENT || status == NOT_MODIFIED
+        if (!empty) out.writeCharSequence("content-length: ${content.readableBytes()}\r\n", US_ASCII)
+        out.writeCharSequence("\r\n", US_ASCII)
+        if (head.method != "HEAD" && !empty) out.writeBytes(content)
+        content.release()
+        context.writeAndFlush(out)
+        finish(closeAfter)
+    }
+
+    /** Writes the head of an answer whose end is not known yet. */
+    fun begin(status: Int, reason: String, headers: List<Pair<String, String>>) {
+        if (finished) return
+        begun = true
+        chunked = !http10
+        closeAfter = !keepAlive || draining() || http10
+        val out = context.alloc().buffer(HEAD_BYTES)
+        writeHead(out, status, reason, headers)
+        if (chunked) out.writeCharSequence("transfer-encoding: chunked\r\n", US_ASCII)
+        out.writeCharSequence("\r\n", US_ASCII)
+        context.write(out)
+    }
+
+    /** Writes a part of the answer's body; returns false when the caller reads more slowly than parts arrive. */
+    fun write(part: ByteBuf): Boolean {
+        if (finished || !part.isReadable) {
+            part.release()
+            return true
+        }
+        if (chunked) {
+            val size = Integer.toHexString(part.readableBytes())
+            context.write(Unpooled.copiedBuffer("$size\r\n", US_ASCII))
+            context.write(part)
+            context.writeAndFlush(Unpooled.copiedBuffer("\r\n", US_ASCII))
+        } else {
+            context.writeAndFlush(part)
+        }
+        return context.channel().isWritable
+    }
+
+    /** Ends an answer that was begun. */
+    fun end() {
+        if (finished) return
+        if (chunked) context.writeAndFlush(Unpooled.copiedBuffer("0\r\n\r\n", US_ASCII))
+        finish(closeAfter)
+    }
+
+    /** Closes the connection, so that an answer that broke off does not look whole. */
+    fun abort() {
+        if (finished) return
+        finished = true
+        release()
+        // What was written before still leaves; the missing last chunk shows that the answer is not whole.
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        onFinished(true)
+    }
+
+    internal fun gone() {
+        if (finished) return
+        finished = true
+        release()
+        onGone()
+    }
+
+    private fun finish(close: Boolean) {
+        finished = true
+        release()
+        onFinished(close)
+    }
+
+    private fun release() {
+        if (body.refCnt() > 0) body.release()
+    }
+
+    private fun writeHead(out: ByteBuf, status: Int, reason: String, headers: List<Pair<String, String>>) {
+        out.writeCharSequence("HTTP/1.1 $status $reason\r\n", ISO_8859_1)
+        for ((name, value) in headers) out.writeCharSequence("$name: $value\r\n", ISO_8859_1)
+        if (closeAfter) {
+            out.writeCharSequence("connection: close\r\n", US_ASCII)
+        } else if (http10) {
+            out.writeCharSequence("connection: keep-alive\r\n", US_ASCII)
+        }
+    }
+
+    private companion object {
+        const val HEAD_BYTES = 512
+        const val NO_CONTENT = 204
+        const val NOT_MODIFIED = 304
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
@@ -0,0 +1,55 @@
+package io.camphordrum.daemon.edge
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+import io.prometheus.metrics.model.snapshots.Unit as MetricUnit
+
+/** Counts what the raw edges do; label values are bounded. */
+class EdgeMetrics {
+    private val registry = PrometheusRegistry()
+
+    /** Final answers by outcome. */
+    val answers: Counter = counter("camphordrum_edge_answers_total", "Final answers to callers by outcome.", "outcome")
+
+    /** Sends to endpoints by how they ended. */
+    val sends: Counter = counter("camphordrum_edge_sends_total", "Sends to endpoints by how they ended.", "end")
+
+    /** Orders to endpoints by how they ended. */
+    val orders: Counter = counter("camphordrum_edge_orders_total", "Orders to endpoints by how they ended.", "end")
+
+    /** Calls to the store by kind and outcome. */
+    val storeCalls: Counter =
+        counter("camphordrum_store_calls_total", "Calls to the store by kind and outcome.", "kind", "outcome")
+
+    /** Messages to and from other daemons. */
+    val messages: Counter =
+        counter("camphordrum_edge_messages_total", "Messages between daemons by kind.", "kind")
+
+    /** Time from a request's arrival to the first part of its answer. */
+    val firstPart: Histogram = Histogram.builder()
+        .name("camphordrum_edge_first_part_seconds")
+        .help("Time from a request's arrival to the first part of its answer.")
+        .unit(MetricUnit.SECONDS)
+        .classicOnly()
+        .classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+        .register(registry)
+
+    /** Publishes [value] under [name]. */
+    fun gauge(name: String, help: String, value: () -> Double) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    fun text(): String {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.builder().build().write(out, registry.scrape())
+        return out.toString(Charsets.UTF_8)
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Transport.kt
@@ -0,0 +1,59 @@
+package io.camphordrum.daemon.edge
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.IoHandlerFactory
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.epoll.Epoll
+import io.netty.channel.epoll.EpollChannelOption
+import io.netty.channel.epoll.EpollIoHandler
+import io.netty.channel.epoll.EpollServerSocketChannel
+import io.netty.channel.epoll.EpollSocketChannel
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.ServerSocketChannel
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.util.concurrent.DefaultThreadFactory
+
+/** Names the socket implementation in use; epoll where it is available, since only it ends silent connections early. */
+class Transport private constructor(
+    val serverChannel: Class<out ServerSocketChannel>,
+    val clientChannel: Class<out SocketChannel>,
+    private val handler: () -> IoHandlerFactory,
+    private val epoll: Boolean,
+) {
+    /** Returns one event loop on a daemon thread of the given name. */
+    fun group(name: String): EventLoopGroup =
+        MultiThreadIoEventLoopGroup(1, DefaultThreadFactory(name, true), handler())
+
+    /** Ends [channel] when bytes stay unacknowledged, or keep-alive probes unanswered, for about [millis]. */
+    fun endSilent(channel: Channel, millis: Int) {
+        channel.config().setOption(ChannelOption.SO_KEEPALIVE, true)
+        if (!epoll) return
+        channel.config().setOption(EpollChannelOption.TCP_USER_TIMEOUT, millis)
+        channel.config().setOption(EpollChannelOption.TCP_KEEPIDLE, 1)
+        channel.config().setOption(EpollChannelOption.TCP_KEEPINTVL, 1)
+        channel.config().setOption(EpollChannelOption.TCP_KEEPCNT, maxOf(1, millis / 1_000))
+    }
+
+    companion object {
+        /** Returns the best implementation that this system has. */
+        fun best(): Transport = if (Epoll.isAvailable()) {
+            Transport(
+                EpollServerSocketChannel::class.java,
+                EpollSocketChannel::class.java,
+                { EpollIoHandler.newFactory() },
+                epoll = true,
+            )
+        } else {
+            Transport(
+                NioServerSocketChannel::class.java,
+                NioSocketChannel::class.java,
+                { NioIoHandler.newFactory() },
+                epoll = false,
+            )
+        }
+    }
+}
--- a/wire/src/main/kotlin/io/camphordrum/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/io/camphordrum/wire/PeerMessage.kt
@@ -7,6 +7,7 @@
 import io.camphordrum.core.membership.MembershipMessage
 import io.camphordrum.core.residency.ResidencyMessage
 import io.camphordrum.core.residency.TicketMessage
+import io.camphordrum.core.serving.ServingMessage
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -37,6 +38,11 @@
     @Serializable
     @SerialName("r")
     public data class Residency(@SerialName("v") public val message: ResidencyMessage) : PeerMessage
+
+    /** Carries a message of the serving path. */
+    @Serializable
+    @SerialName("w")
+    public data class Serving(@SerialName("v") public val message: ServingMessage) : PeerMessage
 }
 
 /**
