Read rights from the start

Cause: the time of the first read was compared with the smallest number, which overflowed, so no daemon ever read the rights and none gave orders.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
@@ -25,7 +25,7 @@
     private val mine = HashMap<EndpointId, Mine>()
     private var stored: Map<String, StoredRight>? = null
     private var listing = false
-    private var listedNanos = Long.MIN_VALUE
+    private var listedNanos = Long.MIN_VALUE / 2
     private val writing = HashSet<EndpointId>()
 
     /** Set once this daemon gives up its rights and takes no more. */
