Count an order once, and let an adapter live at one endpoint of the fleet

Cause: an order that is repeated while it is carried out is accepted again but not counted, so the next order named a wrong count, and the keeper waited 400 ms for a report. Adapters were brought to an endpoint in each data centre.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/AccountMeter.kt
@@ -10,13 +10,20 @@
  * ([OPEN_LEVEL_PART]); the debt that remains is paid back by refusing until the bucket has refilled. A group of daemons
  * that cannot hear the rest uses its part of the limit only ([share]).
  */
-public class AccountMeter(private val self: Member, private val startedNanos: Long) {
+public class AccountMeter(
+    private val self: Member,
+    private val startedNanos: Long,
+    slackTokens: Double = 0.0,
+) {
     private class Level(var rate: Double, var burst: Double, var level: Double, var refilledNanos: Long) {
         var allowance = 0.0
     }
 
     private class Seen(var incarnation: Long, var number: Long, var used: Map<String, Long>)
 
+    // Part of what the deployment bears over every limit; the rest covers what others charge before this daemon hears.
+    private val debtTokens = slackTokens * DEBT_PART
+
     private val levels = HashMap<String, Level>()
     private val used = HashMap<String, Long>()
     private val seen = HashMap<String, Seen>()
@@ -51,7 +58,7 @@
     public fun charge(now: Long, account: String, tokens: Int): Long {
         val level = levels[account] ?: return 0
         refill(now, level)
-        val open = minOf(level.level, level.allowance)
+        val open = minOf(level.level + debtTokens * share, level.allowance)
         if (open <= 0) return (1_000 * (tokens - open) / maxOf(1.0, level.rate * share)).toLong().coerceIn(50, 4_000)
         spend(account, level, tokens.toLong())
         return 0
@@ -91,10 +98,11 @@
     public fun open(now: Long, noticeMillis: Long) {
         for (level in levels.values) {
             refill(now, level)
+            val open = level.level + debtTokens * share
             level.allowance = if (members == 1) {
-                level.level
+                open
             } else {
-                maxOf(0.0, level.level) * OPEN_LEVEL_PART + level.rate * share * noticeMillis / 1_000 / members
+                maxOf(0.0, open) * OPEN_LEVEL_PART + level.rate * share * noticeMillis / 1_000 / members
             }
         }
     }
@@ -116,6 +124,8 @@
         // With 7 daemons that see each other's charges after one notice, at most 7/3 of a level can be charged.
         const val OPEN_LEVEL_PART = 1.0 / 3
 
+        const val DEBT_PART = 0.4
+
         const val FIRST_COUNTS_NANOS = 3_000_000_000L
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/AdapterKeeper.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/AdapterKeeper.kt
@@ -16,7 +16,10 @@
 ) {
     private enum class Phase { READY, LOADING, LEAVING }
 
-    private class Place(var version: Int, var phase: Phase, var dueNanos: Long, var usedNanos: Long)
+    private class Place(var version: Int, var phase: Phase, var dueNanos: Long, var usedNanos: Long) {
+        /** When the order that is under way was accepted; null before. */
+        var acceptedNanos: Long? = null
+    }
 
     private class Ask(var version: Int?, val askers: MutableSet<String>, var untilNanos: Long)
 
@@ -122,6 +125,7 @@
         if (load && adapter != null) {
             // The place counts from here on, whatever becomes of the answer.
             val place = places.getOrPut(adapter) { Place(version ?: 0, Phase.LOADING, now, now) }
+            if (place.phase != Phase.LOADING) place.acceptedNanos = null
             place.phase = Phase.LOADING
             place.version = version ?: place.version
         }
@@ -147,7 +151,6 @@
     }
 
     private fun accepted(now: Long, order: EndpointOrder) {
-        accepted = order.expected + 1
         lastAcceptedNanos = now
         val adapter = order.adapter
         if (adapter == null) {
@@ -157,12 +160,20 @@
             return
         }
         val place = places[adapter] ?: return
-        if (order.load) {
-            place.dueNanos = now + FIRST_POLL_NANOS
-        } else {
-            place.phase = Phase.LEAVING
-            place.dueNanos = now + POLL_NANOS
+        if (!order.load) place.phase = Phase.LEAVING
+        val since = place.acceptedNanos
+        if (since == null) {
+            place.acceptedNanos = now
+            accepted = order.expected + 1
         }
+        // An order that is repeated while it is carried out is accepted again but not counted.
+        place.dueNanos = nextPoll(now, since ?: now)
+    }
+
+    // Adapters held lately are there after a tenth of the time; others are asked for when they can be there.
+    private fun nextPoll(now: Long, sinceNanos: Long): Long {
+        val age = now - sinceNanos
+        return if (age in QUICK_LOAD_NANOS until FULL_LOAD_NANOS) sinceNanos + FULL_LOAD_NANOS else now + POLL_NANOS
     }
 
     private fun holds(now: Long, order: EndpointOrder) {
@@ -179,6 +190,7 @@
         }
         val place = places.getOrPut(adapter) { Place(order.version ?: 0, Phase.READY, now, now) }
         place.phase = Phase.READY
+        place.acceptedNanos = null
         place.usedNanos = now
         finish(adapter, place.version, reason = null)
     }
@@ -212,7 +224,7 @@
             places[adapter] = Place(version, Phase.READY, now, before[adapter]?.usedNanos ?: now)
         }
         for ((adapter, version) in report.incoming.flatMap { it.adapters.entries }) {
-            places[adapter] = Place(version, Phase.LOADING, now + POLL_NANOS, now)
+            places[adapter] = Place(version, Phase.LOADING, now + POLL_NANOS, now).also { it.acceptedNanos = now }
         }
     }
 
@@ -248,8 +260,9 @@
 
     private companion object {
         // The sheets: an adapter takes 250 ms while few are under way, and a tenth if it was held lately.
-        const val FIRST_POLL_NANOS = 30_000_000L
-        const val POLL_NANOS = 40_000_000L
+        const val QUICK_LOAD_NANOS = 40_000_000L
+        const val FULL_LOAD_NANOS = 245_000_000L
+        const val POLL_NANOS = 28_000_000L
         const val BASE_POLL_NANOS = 300_000_000L
 
         // Reports lag by some hundred milliseconds; one that is read earlier may not show the last order.
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
@@ -8,8 +8,8 @@
  * Chooses the endpoint at which a request gets the first part of its answer soonest.
  *
  * The time at an endpoint is what waits there, the load of the adapter where it is not held, and penalties for another
- * data centre and for recent failures. The rendezvous rank of the adapter breaks ties, so that daemons agree on where a
- * rare adapter lives without asking each other.
+ * data centre and for recent failures. Where an adapter must be brought, its rendezvous rank decides, so that daemons
+ * agree on where it lives without asking each other.
  */
 internal class Placer(private val dataCentre: DataCentreId, private val book: EndpointBook) {
     /** Names an endpoint, what is expected of it, and whether its adapter must be brought first. */
@@ -19,7 +19,9 @@
         val version = book.announced(work.base, work.adapter)
         val usable = book.usable(now, work.service, excluded)
         val lit = usable.filterNot { it.dark(now) }.ifEmpty { usable }
-        return lit.mapNotNull { choice(now, work, service, version, it, noLoad) }.minByOrNull { it.millis }
+        val ranked = if (work.adapter == null) lit else Rendezvous.order(work.adapter, lit) { it.id.name }
+        return ranked.mapIndexedNotNull { rank, state -> choice(now, work, service, version, state, rank, noLoad) }
+            .minByOrNull { it.millis }
     }
 
     private fun choice(
@@ -28,6 +30,7 @@
         service: ServedService,
         version: Int?,
         state: EndpointState,
+        rank: Int,
         noLoad: Set<EndpointId>,
     ): Choice? {
         if (!state.coldRoom(now, book.coldShare(service))) return null
@@ -39,7 +42,6 @@
         val wait = engineMillis(now, work, engine, state) + penalty
         if (state.holds(base, work.adapter, version)) return Choice(state, wait, load = false)
         if (state.id in noLoad || !book.ownerReachable(now, state)) return null
-        val rank = Rendezvous.mix(Rendezvous.hash(work.adapter.orEmpty()), Rendezvous.hash(state.id.name)) ushr RANK_SHIFT
         return Choice(state, wait + LOAD_MILLIS * (1 + state.ownerQueue) + rank * RANK_MILLIS, load = true)
     }
 
@@ -78,8 +80,8 @@
         const val AWAY_MILLIS = 60.0
         const val FAILURE_TARGETS = 1.5
 
-        // The top 3 bits: up to 7 ranks of 8 ms, below one load.
-        const val RANK_SHIFT = 61
-        const val RANK_MILLIS = 8.0
+        // An adapter that comes back to the endpoint that held it lately is there in a tenth of the time and costs no
+        // fetch; each rank further away must save this much.
+        const val RANK_MILLIS = 120.0
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -58,7 +58,7 @@
     private val book = EndpointBook(options, peers)
     private val placer = Placer(options.dataCentre, book)
     private val rights = OrderRights(options, machine, clock, ports.rights)
-    private val meter = AccountMeter(options.self, clock.nanos())
+    private val meter = AccountMeter(options.self, clock.nanos(), options.limitSlackTokens)
     private val budgets = HashMap<String, RepeatBudget>()
     private val keepers = HashMap<EndpointId, AdapterKeeper>()
     private val waits = LoadWaits()
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingOptions.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingOptions.kt
@@ -14,6 +14,7 @@
  * @property coldFactor how much more than its own rate a cold endpoint may get in a second.
  * @property coldSlack requests on top of that.
  * @property leaseMillis time between the last order of one daemon and the first of another to the same endpoint.
+ * @property limitSlackTokens tokens that every account may get over its limit in one window, over all daemons.
  * @property seed seeds the choices between services and the jitter of Retry-After.
  */
 public data class ServingOptions(
@@ -25,5 +26,6 @@
     public val coldFactor: Double = 1.5,
     public val coldSlack: Double = 5.0,
     public val leaseMillis: Long = 3_000,
+    public val limitSlackTokens: Double = 0.0,
     public val seed: Long = 0,
 )
