--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRight.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRight.kt
@@ -7,6 +7,7 @@
  *
  * @property machine names the process slot and its address; a restarted process keeps the right of its machine.
  * @property token grows with every change of the holder or its incarnation, and goes with every order.
+ * @property settled whether the holder has waited out every holder before it; a restarted process skips that wait only then.
  * @property released whether the holder gave the right up; the next one still waits out the lease.
  */
 @Serializable
@@ -14,6 +15,7 @@
     public val machine: String,
     public val incarnation: Long,
     public val token: Long,
+    public val settled: Boolean = false,
     public val released: Boolean = false,
 )
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
@@ -20,7 +20,13 @@
     private val clock: Clock,
     private val store: RightStore,
 ) {
-    private class Mine(val token: Long, val usableFromNanos: Long, var readNanos: Long, var readEpochMillis: Long)
+    private class Mine(
+        val token: Long,
+        val usableFromNanos: Long,
+        var settled: Boolean,
+        var readNanos: Long,
+        var readEpochMillis: Long,
+    )
 
     private val mine = HashMap<EndpointId, Mine>()
     private var stored: Map<String, StoredRight>? = null
@@ -76,7 +82,8 @@
     }
 
     private fun take(now: Long, endpoint: EndpointId, before: StoredRight?, own: Boolean) {
-        val right = EndpointRight(machine, options.self.incarnation, (before?.right?.token ?: 0) + 1)
+        val settled = before == null || (own && before.right.settled)
+        val right = EndpointRight(machine, options.self.incarnation, (before?.right?.token ?: 0) + 1, settled)
         val startedMillis = clock.epochMillis()
         writing += endpoint
         store.put(endpoint.name, right, before?.revision) { end ->
@@ -85,14 +92,34 @@
                 is RightEnd.Stored -> {
                     stored = stored.orEmpty() + (endpoint.name to StoredRight(right, end.revision))
                     // Counted from the answer, because the write may have taken effect at any moment before it.
-                    val wait = if (before == null || own) 0 else VALID_NANOS + options.leaseMillis * NANOS_PER_MILLI + MARGIN_NANOS
-                    mine[endpoint] = Mine(right.token, clock.nanos() + wait, now, startedMillis)
+                    val wait = if (settled) 0 else VALID_NANOS + options.leaseMillis * NANOS_PER_MILLI + MARGIN_NANOS
+                    mine[endpoint] = Mine(right.token, clock.nanos() + wait, settled, now, startedMillis)
                 }
                 RightEnd.Conflict, RightEnd.Unknown -> refresh(clock.nanos())
             }
         }
     }
 
+    /** Stores that the waits that are over are over, so that a restart of this process need not repeat them. */
+    fun settle(now: Long) {
+        for ((endpoint, right) in mine) {
+            if (right.settled || now < right.usableFromNanos || endpoint in writing) continue
+            val known = stored?.get(endpoint.name) ?: continue
+            if (known.right.machine != machine || known.right.token != right.token) continue
+            val next = known.right.copy(settled = true)
+            writing += endpoint
+            store.put(endpoint.name, next, known.revision) { end ->
+                writing -= endpoint
+                if (end is RightEnd.Stored) {
+                    right.settled = true
+                    stored = stored.orEmpty() + (endpoint.name to StoredRight(next, end.revision))
+                } else {
+                    refresh(clock.nanos())
+                }
+            }
+        }
+    }
+
     /** Gives up all rights; the store tells the others. */
     fun release() {
         leaving = true
@@ -124,7 +151,7 @@
         const val VALID_NANOS = 2_500_000_000L
 
         // Drift of steady clocks and the way of an order to its endpoint.
-        const val MARGIN_NANOS = 300_000_000L
+        const val MARGIN_NANOS = 600_000_000L
 
         // A step of the time of day, or a suspension; well below the time that a lease bears.
         const val STEP_MILLIS = 200L
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -321,6 +321,7 @@
         val engines = book.all.filter { engine(it) != null && it.missingSinceNanos == null }
         if (engines.isEmpty()) return
         if (rights.older(now, if (rights.held.isEmpty()) IDLE_READ_NANOS else READ_NANOS)) rights.refresh(now)
+        rights.settle(now)
         val live = peers.liveDaemons(now)
         for (state in engines) {
             val near = live.filter { it.dataCentre == state.record.dataCentre }.ifEmpty { live }
--- /dev/null
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/ServingFixture.kt
@@ -0,0 +1,156 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.Clock
+import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.EndpointId
+import io.camphordrum.core.InstanceId
+import io.camphordrum.core.Member
+
+/** Runs on time that only tests move; [stepMillis] moves the time of day alone, as an operator or a suspension does. */
+class HandClock : Clock {
+    var nanos = 1_000_000_000_000L
+    var stepMillis = 0L
+
+    override fun nanos(): Long = nanos
+
+    override fun epochMillis(): Long = nanos / 1_000_000 + stepMillis
+
+    fun pass(millis: Long) {
+        nanos += millis * 1_000_000
+    }
+}
+
+/** Stores rights as the platform would, and can be switched off. */
+class FakeRights : RightStore {
+    val rights = HashMap<String, StoredRight>()
+    var available = true
+    var writes = 0
+    private var revision = 0L
+
+    override fun list(onEnd: (Map<String, StoredRight>?) -> Unit) = onEnd(if (available) HashMap(rights) else null)
+
+    override fun put(endpoint: String, right: EndpointRight, revision: Long?, onEnd: (RightEnd) -> Unit) {
+        if (!available) return onEnd(RightEnd.Unknown)
+        if (rights[endpoint]?.revision != revision) return onEnd(RightEnd.Conflict)
+        writes++
+        rights[endpoint] = StoredRight(right, ++this.revision)
+        onEnd(RightEnd.Stored(this.revision))
+    }
+}
+
+/** Carries orders out as an engine would: one count for each order, adapters after [loadMillis]. */
+class FakeEngine(private val clock: HandClock) : OrderPort {
+    val orders = ArrayList<EndpointOrder>()
+    val held = HashSet<String>()
+    var accepted = 0L
+    var base: String? = "m"
+    var loadMillis = 250L
+    var silent = false
+    private val dueNanos = HashMap<String, Long>()
+
+    /** Adapters held and under way at most so far. */
+    var mostPlaces = 0
+        private set
+
+    fun settle() {
+        val done = dueNanos.filterValues { it <= clock.nanos }.keys
+        held += done
+        dueNanos -= done
+    }
+
+    override fun order(order: EndpointOrder, onEnd: (OrderEnd) -> Unit) {
+        settle()
+        orders += order
+        if (silent) return onEnd(OrderEnd.UNKNOWN)
+        val adapter = order.adapter
+        if (adapter != null && order.load && adapter in dueNanos) return onEnd(OrderEnd.ACCEPTED)
+        if (order.expected != accepted) return onEnd(OrderEnd.CONFLICT)
+        if (adapter == null) {
+            accepted++
+            base = order.base
+            return onEnd(OrderEnd.ACCEPTED)
+        }
+        if (order.load && adapter in held) return onEnd(OrderEnd.HOLDS)
+        accepted++
+        if (!order.load) {
+            held -= adapter
+            return onEnd(OrderEnd.HOLDS)
+        }
+        dueNanos[adapter] = clock.nanos + loadMillis * 1_000_000
+        mostPlaces = maxOf(mostPlaces, held.size + dueNanos.size)
+        onEnd(OrderEnd.ACCEPTED)
+    }
+
+    override fun report(endpoint: EndpointId, address: String, onEnd: (EndpointReport?) -> Unit) {
+        settle()
+        val models = listOfNotNull(base).map { HeldModel(it, held.associateWith { 1 }) }
+        val incoming = if (dueNanos.isEmpty()) emptyList() else listOf(HeldModel("m", dueNanos.keys.associateWith { 1 }))
+        onEnd(if (silent) null else EndpointReport(accepted, false, models, incoming, startedEpochMillis = 1))
+    }
+}
+
+/** Builds a core with one service of engines and one plain service. */
+class ServingFixture(
+    val name: String = "edge-a1",
+    val clock: HandClock = HandClock(),
+    val rights: FakeRights = FakeRights(),
+    options: (ServingOptions) -> ServingOptions = { it },
+) {
+    val engine = FakeEngine(clock)
+    val sent = ArrayList<Pair<RegisteredDaemon, ServingMessage>>()
+    val self = RegisteredDaemon(Member(InstanceId(name), 1), DataCentreId("a"), "10.0.0.1:7600")
+    val core = ServingCore(
+        options(ServingOptions(self.member, self.dataCentre, seed = 7)),
+        "$name@10.0.0.1",
+        clock,
+        ServingPorts(rights, engine, { daemon, message -> sent += daemon to message }, {}, { _, _ -> }),
+    )
+
+    val drafts = ServingRoute(
+        "drafts", "reports.example", "/drafts/", Repetition.FORBIDDEN,
+        streaming = true, timeoutMillis = 12_000, targetMillis = 800, priority = 2,
+        services = listOf(WeightedService("models", 1)),
+    )
+    val records = ServingRoute(
+        "records", "reports.example", "/records/", Repetition.ALLOWED,
+        streaming = false, timeoutMillis = 1_500, targetMillis = 300, priority = 2,
+        services = listOf(WeightedService("desk", 1)), maxEndpoints = 2,
+    )
+
+    fun config(
+        version: Long = 1,
+        accounts: List<ServedAccount> = emptyList(),
+        routes: List<ServingRoute> = listOf(drafts, records),
+    ) = ServingConfig(
+        version,
+        routes,
+        listOf(
+            ServedService("models", 360, 13.0, EngineLimits(64, 3, listOf(BaseModel("m", 1_900)))),
+            ServedService("desk", 100, 0.0),
+        ),
+        accounts,
+        CallerLimits(16_384, 1 shl 20, 3_000, 15_000),
+    )
+
+    fun engineRecord(id: String, zone: String = "a", draining: Boolean = false, coldMillis: Long = 0, adapters: List<String> = emptyList()) =
+        EndpointRecord(
+            EndpointId(id), "models", "10.1.0.${id.hashCode().and(127)}:80", DataCentreId(zone), 64, draining, coldMillis, 1,
+            listOf(HeldModel("m", adapters.associateWith { 1 })),
+        )
+
+    fun deskRecord(id: String, zone: String = "a", draining: Boolean = false) =
+        EndpointRecord(EndpointId(id), "desk", "10.2.0.9:80", DataCentreId(zone), 6, draining, 0, 1, emptyList())
+
+    fun work(id: String, adapter: String? = null, route: ServingRoute = drafts, tokens: Int = 1_000, account: String? = null) = Work(
+        id, route, route.services.first().service, account, route.priority,
+        if (route === drafts) "m" else null, adapter, tokens, tokens, clock.nanos, clock.nanos + 12_000_000_000,
+    )
+
+    /** Lets [millis] pass in ticks of 20 ms. */
+    fun run(millis: Long) {
+        repeat((millis / 20).toInt()) {
+            clock.pass(20)
+            core.tick(clock.nanos)
+        }
+    }
+}
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerExchange.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerExchange.kt
@@ -112,7 +112,8 @@
     private fun finish(close: Boolean) {
         finished = true
         release()
-        onFinished(close)
+        // A stream that began before the drain has not asked its caller to leave; its connection ends with it.
+        onFinished(close || draining())
     }
 
     private fun release() {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeLog.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeLog.kt
@@ -21,8 +21,8 @@
         }
     }
 
-    /** Writes a request that was served well, sampled. */
-    fun served(fields: () -> Map<String, Any?>) {
-        if (served++ % SAMPLE == 0) write("served", fields())
+    /** Writes a request that was served; sampled unless it was [late]. */
+    fun served(late: Boolean, fields: () -> Map<String, Any?>) {
+        if (late) write("served_late", fields()) else if (served++ % SAMPLE == 0) write("served", fields())
     }
 }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -49,8 +50,11 @@
 
     fun usable(now: Long): Boolean = context?.channel()?.isActive == true && now < freshUntilNanos
 
-    fun close() {
-        context?.close()
+    /** Closes the connection; [lose] resets it, so that nothing that is still on its way is sent again. */
+    fun close(lose: Boolean = false) {
+        val ctx = context ?: return
+        if (lose) ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+        ctx.close()
     }
 
     fun reading(on: Boolean) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -139,11 +139,15 @@
     internal var cancelled = false
         private set
 
-    /** Closes the connection, so that the endpoint stops work on the request. */
-    fun cancel() {
+    /**
+     * Closes the connection, so that the endpoint stops work on the request.
+     *
+     * @param lose whether bytes that have not arrived yet must not arrive later.
+     */
+    fun cancel(lose: Boolean = false) {
         if (cancelled) return
         cancelled = true
-        connection?.close()
+        connection?.close(lose)
     }
 
     /** Stops or resumes reading, for callers that read slowly. */
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -36,6 +36,7 @@
     private var run: Run? = null
     private var stopWaiting: () -> Unit = {}
     private var finished = false
+    private var firstNanos = 0L
     private lateinit var deadline: Future<*>
 
     fun start() {
@@ -280,6 +281,7 @@
 
         private fun begin(first: AnswerHead) {
             val now = now()
+            firstNanos = now
             core.firstPart(work, endpoint, placement.expectedMillis, (now - sentNanos) / 1e6)
             forwarder.metrics.firstPart.observe((now - work.arrivedNanos) / 1e9)
             exchange.begin(first.status, first.reason, passed(first))
@@ -302,7 +304,15 @@
             close(if (first.status >= SERVER_ERROR) RunEnd.FAILED else RunEnd.COMPLETE)
             if (!finish()) return
             forwarder.metrics.answers.labelValues(if (first.status in SUCCESS) "served" else "failed_by_endpoint").inc()
-            EdgeLog.served { fields() + mapOf("status" to first.status) }
+            val firstMillis = ((if (firstNanos > 0) firstNanos else now()) - work.arrivedNanos) / NANOS_PER_MILLI
+            EdgeLog.served(firstMillis > work.route.targetMillis) {
+                fields() + mapOf(
+                    "status" to first.status,
+                    "sentAfterMillis" to (sentNanos - work.arrivedNanos) / NANOS_PER_MILLI,
+                    "firstPartMillis" to firstMillis,
+                    "promptTokens" to work.promptTokens,
+                )
+            }
             if (exchange.begun) {
                 splitter?.remainder()?.let(exchange::write)
                 held?.let(exchange::write)
