--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingRoute.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingRoute.kt
@@ -11,6 +11,7 @@
  * @property services where requests go, each with its weight.
  * @property maxEndpoints most endpoints on which one request may run.
  * @property open whether requests need no key.
+ * @property pauseMillis longest pause between events with which a stream is still served well; null where none is set.
  */
 public data class ServingRoute(
     public val name: String,
@@ -24,6 +25,7 @@
     public val services: List<WeightedService>,
     public val maxEndpoints: Int = 1,
     public val open: Boolean = false,
+    public val pauseMillis: Long? = null,
 )
 
 /** Names a service and the part of a route's requests that it gets. */
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -37,6 +37,8 @@
     private var stopWaiting: () -> Unit = {}
     private var finished = false
     private var firstNanos = 0L
+    private var lastPartNanos = 0L
+    private var longestPauseNanos = 0L
     private lateinit var deadline: Future<*>
 
     fun start() {
@@ -274,7 +276,9 @@
             work.route.repetition == Repetition.ALLOWED && runs + 1 < work.route.maxEndpoints
 
         private fun relay(first: AnswerHead, part: ByteBuf) {
-            if (!exchange.begun) begin(first)
+            val now = now()
+            if (!exchange.begun) begin(first) else longestPauseNanos = maxOf(longestPauseNanos, now - lastPartNanos)
+            lastPartNanos = now
             val whole = splitter?.take(part) ?: part
             if (!exchange.write(whole)) send.reading(false)
         }
@@ -305,11 +309,14 @@
             if (!finish()) return
             forwarder.metrics.answers.labelValues(if (first.status in SUCCESS) "served" else "failed_by_endpoint").inc()
             val firstMillis = ((if (firstNanos > 0) firstNanos else now()) - work.arrivedNanos) / NANOS_PER_MILLI
-            EdgeLog.served(firstMillis > work.route.targetMillis) {
+            val pauseMillis = longestPauseNanos / NANOS_PER_MILLI
+            val late = firstMillis > work.route.targetMillis || pauseMillis > (work.route.pauseMillis ?: Long.MAX_VALUE)
+            EdgeLog.served(late) {
                 fields() + mapOf(
                     "status" to first.status,
                     "sentAfterMillis" to (sentNanos - work.arrivedNanos) / NANOS_PER_MILLI,
                     "firstPartMillis" to firstMillis,
+                    "longestPauseMillis" to pauseMillis,
                     "promptTokens" to work.promptTokens,
                 )
             }
