Pace prompts at the owner of an endpoint, so that streams keep their pauses

Ruled out: slow callers and our own queues (parts are passed on as they come), late first parts (59 and 43 streams).

--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointBook.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointBook.kt
@@ -114,6 +114,7 @@
         state.owner = daemon
         state.ownerHeardNanos = now
         state.ownerQueue = what.queued
+        state.turnTokens = what.waitingTokens
         val base = what.base ?: return
         if (base in state.held) state.held[base] = HashMap(what.adapters)
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
@@ -16,6 +16,10 @@
     var ownerHeardNanos = 0L
     var ownerQueue = 0
 
+    /** Prompt tokens that wait for their turn, by the owner's last word, and those that this daemon asked for since. */
+    var turnTokens = 0
+    val askedTurns = HashMap<String, Int>()
+
     /** Requests of this daemon whose answer has begun, and those whose answer has not, by request id. */
     val running = HashMap<String, Work>()
     val waiting = HashMap<String, Work>()
@@ -39,9 +43,20 @@
         if (load == null) peers.remove(daemon) else peers[daemon] = PeerLoad(load, now)
     }
 
+    // Grants whose requests other daemons have not reported yet.
+    private val grants = ArrayDeque<Pair<Long, Int>>()
+
+    /** Notes that a turn was given; it counts until notices of other daemons show the request. */
+    fun granted(now: Long, id: String, tokens: Int) {
+        if (id !in askedTurns) grants.addLast(now to tokens)
+    }
+
     fun runningEverywhere(now: Long): Int = running.size + fresh(now).sumOf { it.running }
 
-    fun waitingEverywhere(now: Long): Int = waiting.size + fresh(now).sumOf { it.waiting }
+    fun waitingEverywhere(now: Long): Int {
+        while (grants.isNotEmpty() && now - grants.first().first > GRANT_SHOWN_NANOS) grants.removeFirst()
+        return waiting.size + fresh(now).sumOf { it.waiting } + grants.size
+    }
 
     fun pendingTokens(now: Long): Int =
         waiting.values.sumOf { it.promptTokens } + fresh(now).sumOf { it.pendingTokens }
@@ -122,6 +137,9 @@
         const val COLD_WINDOW_NANOS = 1_150_000_000L
         const val MAX_COLD_SENDS = 256
 
+        // One notice between data centres.
+        const val GRANT_SHOWN_NANOS = 500_000_000L
+
         // Three notices between data centres; older loads say nothing.
         const val PEER_LOAD_NANOS = 1_600_000_000L
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
@@ -61,13 +61,15 @@
         val beyond = state.runningEverywhere(now) + waiting + 1 - engine.batchSlots
         val tokens = state.pendingTokens(now) + work.promptTokens
         val running = state.runningEverywhere(now)
-        val reading = tokens / TOKENS_PER_MILLI + STEP_MILLIS + running * STEP_MILLIS_PER_RUN
+        val turns = state.turnTokens + state.askedTurns.values.sum()
+        val reading = tokens / TOKENS_PER_MILLI + turns / (TOKENS_PER_MILLI * TurnQueue.READING_PART) +
+            STEP_MILLIS + running * STEP_MILLIS_PER_RUN
         return reading * state.slowness + maxOf(0, beyond) * RUN_MILLIS / engine.batchSlots
     }
 
     private companion object {
         // Weights of the estimate; what an engine really takes is learned as its slowness.
-        const val TOKENS_PER_MILLI = 20.0
+        const val TOKENS_PER_MILLI = TurnQueue.ENGINE_TOKENS_PER_MILLI
         const val STEP_MILLIS = 10.0
         const val STEP_MILLIS_PER_RUN = 0.1
         const val RUN_MILLIS = 2_000.0
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -62,6 +62,8 @@
     private val meter = AccountMeter(options.self, startedNanos, options.limitSlackTokens)
     private val budgets = HashMap<String, RepeatBudget>()
     private val keepers = HashMap<EndpointId, AdapterKeeper>()
+    private val turns = HashMap<EndpointId, TurnQueue>()
+    private val turnWaits = HashMap<String, TurnWait>()
     private val waits = LoadWaits()
     private var noticeNumber = 0L
     private var nearNoticeNanos = Long.MIN_VALUE / 2
@@ -187,6 +189,38 @@
         return { waits.cancel(endpoint.name, adapter, onEnd) }
     }
 
+    /**
+     * Asks for the turn of [work] at [endpoint]; [onEnd] tells whether it has come. Call the result to stop waiting.
+     *
+     * Without an owner that can be reached, the request goes at once: nobody else can pace the endpoint then.
+     */
+    public fun turn(now: Long, work: Work, endpoint: EndpointId, onEnd: (Boolean) -> Unit): () -> Unit {
+        val state = book.get(endpoint)
+        if (state == null || engine(state) == null || !book.ownerReachable(now, state)) {
+            onEnd(true)
+            return {}
+        }
+        val targetNanos = (work.route.targetMillis * PATIENCE_TARGETS * OrderRights.NANOS_PER_MILLI).toLong()
+        val untilNanos = minOf(work.arrivedNanos + targetNanos, work.deadlineNanos)
+        val waitMillis = maxOf(1, (untilNanos - now) / OrderRights.NANOS_PER_MILLI)
+        turnWaits[work.id] = TurnWait(endpoint, now + (waitMillis + TURN_ANSWER_MILLIS) * OrderRights.NANOS_PER_MILLI, onEnd)
+        state.askedTurns[work.id] = work.promptTokens
+        val ask = ServingMessage.TurnAsk(endpoint.name, work.id, work.promptTokens, work.priority, waitMillis)
+        if (endpoint in keepers) {
+            askTurn(now, options.self.instance.name, ask)
+        } else {
+            peers.others.firstOrNull { it.member.instance.name == state.owner }?.let { ports.send(it, ask) }
+        }
+        return { if (turnWaits.remove(work.id) != null) dropTurn(state, work.id) }
+    }
+
+    /** Whether [endpoint] may still get [work] and holds what it asks for. */
+    public fun stillServes(now: Long, work: Work, endpoint: EndpointId): Boolean {
+        val state = book.get(endpoint) ?: return false
+        if (!book.mayServe(state) || state.dark(now)) return false
+        return work.base == null || state.holds(work.base, work.adapter, book.announced(work.base, work.adapter))
+    }
+
     /** Notes that [work] was sent to [endpoint]. */
     public fun sent(now: Long, work: Work, endpoint: EndpointId) {
         val state = book.get(endpoint) ?: return
@@ -237,6 +271,9 @@
                 }
             }
             is ServingMessage.LoadEnd -> loadEnded(message)
+            is ServingMessage.TurnAsk -> askTurn(now, from.instance.name, message)
+            is ServingMessage.TurnEnd -> turnEnded(message)
+            is ServingMessage.TurnDrop -> turns[EndpointId(message.endpoint)]?.drop(message.id)
         }
     }
 
@@ -245,6 +282,8 @@
         book.expire(now).forEach(::gone)
         waits.expire(now)
         own(now)
+        for (wait in turnWaits.filterValues { now >= it.untilNanos }.keys.toList()) endTurn(wait, granted = false)
+        for (id in turns.keys.toList()) giveTurns(now, id)
         for ((id, keeper) in keepers.entries.toList()) book.get(id)?.let { step(now, it, keeper) }
         notices(now)
     }
@@ -253,6 +292,7 @@
     public fun leave() {
         rights.release()
         keepers.clear()
+        turns.clear()
     }
 
     private fun gone(id: EndpointId) {
@@ -274,6 +314,65 @@
         RepeatBudget(options.repeatWindowMillis * OrderRights.NANOS_PER_MILLI, options.repeatRatio, options.repeatSlack)
     }
 
+    private fun askTurn(now: Long, asker: String, ask: ServingMessage.TurnAsk) {
+        val id = EndpointId(ask.endpoint)
+        val queue = if (id in keepers) turns.getOrPut(id) { TurnQueue() } else null
+        val untilNanos = now + ask.waitMillis * OrderRights.NANOS_PER_MILLI
+        val asked = TurnQueue.Asked(asker, ask.id, ask.tokens, ask.priority, now, untilNanos)
+        if (queue == null || !queue.add(now, asked)) {
+            answerTurn(asker, ServingMessage.TurnEnd(ask.endpoint, ask.id, false, queue?.waitingTokens ?: 0))
+        } else {
+            giveTurns(now, id)
+        }
+    }
+
+    private fun giveTurns(now: Long, id: EndpointId) {
+        val queue = turns[id] ?: return
+        val state = book.get(id)
+        if (state == null || id !in keepers) {
+            turns.remove(id)
+            return
+        }
+        val slots = engine(state)?.batchSlots ?: return
+        val room = slots - state.runningEverywhere(now) - state.waitingEverywhere(now)
+        val (granted, late) = queue.take(now, room, state.slowness)
+        state.turnTokens = queue.waitingTokens
+        for (asked in granted) {
+            state.granted(now, asked.id, asked.tokens)
+            answerTurn(asked.asker, ServingMessage.TurnEnd(id.name, asked.id, true, queue.waitingTokens))
+        }
+        for (asked in late) answerTurn(asked.asker, ServingMessage.TurnEnd(id.name, asked.id, false, queue.waitingTokens))
+    }
+
+    private fun answerTurn(daemon: String, end: ServingMessage.TurnEnd) {
+        if (daemon == options.self.instance.name) {
+            turnEnded(end)
+        } else {
+            peers.others.firstOrNull { it.member.instance.name == daemon }?.let { ports.send(it, end) }
+        }
+    }
+
+    private fun turnEnded(end: ServingMessage.TurnEnd) {
+        book.get(EndpointId(end.endpoint))?.turnTokens = end.waitingTokens
+        if (turnWaits[end.id]?.endpoint?.name == end.endpoint) endTurn(end.id, end.granted)
+    }
+
+    private fun endTurn(id: String, granted: Boolean) {
+        val wait = turnWaits.remove(id) ?: return
+        book.get(wait.endpoint)?.askedTurns?.remove(id)
+        wait.onEnd(granted)
+    }
+
+    private fun dropTurn(state: EndpointState, id: String) {
+        state.askedTurns.remove(id)
+        if (state.id in keepers) {
+            turns[state.id]?.drop(id)
+        } else {
+            val owner = peers.others.firstOrNull { it.member.instance.name == state.owner } ?: return
+            ports.send(owner, ServingMessage.TurnDrop(state.id.name, id))
+        }
+    }
+
     private fun askOwner(state: EndpointState, ask: ServingMessage.LoadAsk) {
         val owner = peers.others.firstOrNull { it.member.instance.name == state.owner }
         if (owner == null) {
@@ -355,15 +454,20 @@
         return keeper
     }
 
+    private class TurnWait(val endpoint: EndpointId, val untilNanos: Long, val onEnd: (Boolean) -> Unit)
+
     private fun engine(state: EndpointState): EngineLimits? = config?.services?.get(state.record.service)?.engine
 
     private fun step(now: Long, state: EndpointState, keeper: AdapterKeeper) {
         val engine = engine(state) ?: return
         if (!book.mayServe(state)) return
         keeper.step(now, engine)
-        if (keeper.informed) book.owned(now, state, options.self.instance.name, keeper.holdings())
+        if (keeper.informed) book.owned(now, state, options.self.instance.name, holdings(state.id, keeper))
     }
 
+    private fun holdings(id: EndpointId, keeper: AdapterKeeper): OwnedEndpoint =
+        keeper.holdings().copy(waitingTokens = turns[id]?.waitingTokens ?: 0)
+
     private fun notices(now: Long) {
         val near = now - nearNoticeNanos >= NEAR_NOTICE_NANOS
         val far = now - farNoticeNanos >= FAR_NOTICE_NANOS
@@ -377,7 +481,7 @@
         if (targets.isEmpty()) return
         val charged = HashMap(meter.charged)
         val load = loads()
-        val owned = keepers.values.filter { it.informed }.map { it.holdings() }
+        val owned = keepers.filterValues { it.informed }.map { (id, keeper) -> holdings(id, keeper) }
         val heard = peers.heardAges(now)
         for (daemon in targets) {
             val name = daemon.member.instance.name
@@ -409,6 +513,9 @@
         private const val NO_PLACE_MILLIS = 250L
         private const val LOAD_WAIT_MILLIS = 800L
 
+        // The way to the owner and back, also between data centres, with a few ticks.
+        private const val TURN_ANSWER_MILLIS = 100L
+
         // Others that start at the same time need this long to be heard.
         private const val SETTLE_NANOS = 3_000_000_000L
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -27,6 +27,35 @@
         @SerialName("v") public val version: Int?,
         @SerialName("r") public val reason: String? = null,
     ) : ServingMessage
+
+    /** Asks the daemon that paces [endpoint] for the turn of a request; no answer comes after [waitMillis]. */
+    @Serializable
+    @SerialName("t")
+    public data class TurnAsk(
+        @SerialName("e") public val endpoint: String,
+        @SerialName("i") public val id: String,
+        @SerialName("t") public val tokens: Int,
+        @SerialName("p") public val priority: Int,
+        @SerialName("w") public val waitMillis: Long,
+    ) : ServingMessage
+
+    /** Tells whether it is the turn of a request. */
+    @Serializable
+    @SerialName("g")
+    public data class TurnEnd(
+        @SerialName("e") public val endpoint: String,
+        @SerialName("i") public val id: String,
+        @SerialName("g") public val granted: Boolean,
+        @SerialName("q") public val waitingTokens: Int,
+    ) : ServingMessage
+
+    /** Takes back an ask whose caller has left. */
+    @Serializable
+    @SerialName("d")
+    public data class TurnDrop(
+        @SerialName("e") public val endpoint: String,
+        @SerialName("i") public val id: String,
+    ) : ServingMessage
 }
 
 /**
@@ -71,6 +100,7 @@
  * Tells what an endpoint holds by the daemon that gives its orders.
  *
  * @property queued loads that wait or are under way.
+ * @property waitingTokens prompt tokens of requests that wait for their turn.
  */
 @Serializable
 public data class OwnedEndpoint(
@@ -78,6 +108,7 @@
     @SerialName("b") public val base: String?,
     @SerialName("a") public val adapters: Map<String, Int>,
     @SerialName("q") public val queued: Int,
+    @SerialName("t") public val waitingTokens: Int = 0,
 )
 
 /** Passes on what [member] had charged when it sent its notice [number], [ageMillis] ago. */
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -29,10 +29,12 @@
     private val core = forwarder.core
     private val tried = HashSet<EndpointId>()
     private val noLoad = HashSet<EndpointId>()
+    private val full = HashSet<EndpointId>()
     private val splitter = if (work.route.repetition == Repetition.RESUMABLE) EventSplitter() else null
     private var sends = 0
     private var runs = 0
     private var loads = 0
+    private var turns = 0
     private var run: Run? = null
     private var stopWaiting: () -> Unit = {}
     private var finished = false
@@ -53,8 +55,8 @@
 
     private fun step() {
         if (finished) return
-        when (val placement = core.place(now(), work, tried, noLoad)) {
-            is Placement.Send -> send(placement)
+        when (val placement = core.place(now(), work, tried + full, noLoad)) {
+            is Placement.Send -> takeTurn(placement)
             is Placement.AwaitAdapter -> await(placement)
             is Placement.Refuse -> giveUp(placement.reason, placement.retryMillis)
         }
@@ -71,6 +73,31 @@
         }
     }
 
+    private fun takeTurn(placement: Placement.Send) {
+        if (work.base == null) {
+            send(placement)
+            return
+        }
+        if (++turns > MAX_TURNS) {
+            giveUp(RefuseReason.BUSY, RETRY_MILLIS)
+            return
+        }
+        var ended = false
+        val stop = core.turn(now(), work, placement.endpoint) { granted ->
+            ended = true
+            stopWaiting = {}
+            if (!granted) full += placement.endpoint
+            if (granted) sendAfterTurn(placement) else forwarder.loop.execute(::step)
+        }
+        if (!ended) stopWaiting = stop
+    }
+
+    // What was true when the turn was asked for may have changed since.
+    private fun sendAfterTurn(placement: Placement.Send) {
+        if (finished) return
+        if (core.stillServes(now(), work, placement.endpoint)) send(placement) else step()
+    }
+
     private fun send(placement: Placement.Send) {
         val now = now()
         if (sends > 0 && (sends > MAX_SENDS || !core.mayRepeat(now, work.service))) {
@@ -356,6 +383,9 @@
 
         // Waits for an adapter at different endpoints before the request is refused.
         const val MAX_LOADS = 3
+
+        // Endpoints asked for a turn before the request is refused.
+        const val MAX_TURNS = 4
         const val RETRY_MILLIS = 300L
         const val MAX_HELD_BYTES = 256 * 1024
     }
