Give no turn after which the first part would be late

Cause: a turn came up to 1.25 targets after the arrival, and the prompt was read after it; such requests were late and took the time of others.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -200,7 +200,10 @@
             onEnd(true)
             return {}
         }
-        val targetNanos = (work.route.targetMillis * PATIENCE_TARGETS * OrderRights.NANOS_PER_MILLI).toLong()
+        // After its turn the prompt is still to be read.
+        val readingMillis = work.promptTokens / TurnQueue.ENGINE_TOKENS_PER_MILLI
+        val turnMillis = work.route.targetMillis * PATIENCE_TARGETS - readingMillis
+        val targetNanos = (turnMillis * OrderRights.NANOS_PER_MILLI).toLong()
         val untilNanos = minOf(work.arrivedNanos + targetNanos, work.deadlineNanos)
         val waitMillis = maxOf(1, (untilNanos - now) / OrderRights.NANOS_PER_MILLI)
         turnWaits[work.id] = TurnWait(endpoint, now + (waitMillis + TURN_ANSWER_MILLIS) * OrderRights.NANOS_PER_MILLI, onEnd)
@@ -504,8 +507,9 @@
         public fun machineOf(daemon: RegisteredDaemon): String =
             "${daemon.member.instance.name}@${daemon.peerAddress.substringBeforeLast(':')}"
 
-        // A request waits for the first part of its answer up to this many of its targets; later ones earn little.
-        private const val PATIENCE_TARGETS = 1.25
+        // A request waits for the first part of its answer up to this many of its targets; one that is late takes an
+        // engine's time from others that would be in time.
+        private const val PATIENCE_TARGETS = 1.0
         private const val LEFT_PART = 0.8
         private const val LEAST_MILLIS = 150.0
 
