--- a/core/src/main/kotlin/io/camphordrum/core/serving/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/AccountMeter.kt
@@ -10,11 +10,7 @@
  * ([OPEN_LEVEL_PART]); the debt that remains is paid back by refusing until the bucket has refilled. A group of daemons
  * that cannot hear the rest uses its part of the limit only ([share]).
  */
-public class AccountMeter(
-    private val self: Member,
-    private val startedNanos: Long,
-    slackTokens: Double = 0.0,
-) {
+public class AccountMeter(private val self: Member, private val startedNanos: Long, slackTokens: Double = 0.0) {
     private class Level(var rate: Double, var burst: Double, var level: Double, var refilledNanos: Long) {
         var allowance = 0.0
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/AdapterKeeper.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/AdapterKeeper.kt
@@ -3,8 +3,8 @@
 /**
  * Decides which adapters one endpoint holds, and gives its orders one at a time.
  *
- * Every order names how many orders the endpoint must have accepted before, so an order that is carried out late is void
- * once a newer one was accepted. Places are counted as taken from before a load is sent until an unload is confirmed.
+ * Every order names how many orders the endpoint must have accepted before, so an order that is carried out late is
+ * void once a newer one was accepted. A place counts as taken from before a load is sent until an unload is confirmed.
  */
 internal class AdapterKeeper(
     private val state: EndpointState,
@@ -18,6 +18,8 @@
     private enum class Phase { READY, LOADING, LEAVING }
 
     private class Place(var version: Int, var phase: Phase, var dueNanos: Long, var usedNanos: Long) {
+        fun ready(wanted: Int?): Boolean = phase == Phase.READY && (wanted == null || version >= wanted)
+
         /** When the order that is under way was accepted; null before. */
         var acceptedNanos: Long? = null
     }
@@ -83,7 +85,8 @@
     }
 
     private fun check(now: Long, model: String): Boolean {
-        val due = places.entries.firstOrNull { it.value.phase != Phase.READY && it.value.dueNanos <= now } ?: return false
+        val due =
+            places.entries.firstOrNull { it.value.phase != Phase.READY && it.value.dueNanos <= now } ?: return false
         val (adapter, place) = due
         send(now, load = place.phase == Phase.LOADING, model, adapter, place.version.takeIf { it > 0 })
         return true
@@ -95,7 +98,7 @@
         for ((adapter, ask) in asks.entries.toList()) {
             val version = listOfNotNull(ask.version, announced(model, adapter)).maxOrNull()
             val place = places[adapter]
-            if (place != null && place.phase == Phase.READY && (version == null || place.version >= version)) {
+            if (place?.ready(version) == true) {
                 finish(adapter, place.version, reason = null)
                 continue
             }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointBook.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointBook.kt
@@ -38,7 +38,8 @@
         val restarted = known != null && known.record.startedEpochMillis != record.startedEpochMillis
         state.missingSinceNanos = null
         state.record = record
-        state.coldUntilNanos = if (record.coldMillis > 0) now + record.coldMillis * 1_000_000 else minOf(state.coldUntilNanos, now)
+        state.coldUntilNanos =
+            if (record.coldMillis > 0) now + record.coldMillis * 1_000_000 else minOf(state.coldUntilNanos, now)
         if (restarted) state.held.clear()
         val ownerKnows = state.owner != null && now - state.ownerHeardNanos < OWNER_NANOS
         if (!ownerKnows || restarted || known == null) {
@@ -79,12 +80,13 @@
 
     fun mayServe(state: EndpointState): Boolean = !state.record.draining && state.record.dataCentre !in closed
 
-    fun usable(now: Long, service: String, excluded: Set<EndpointId>): List<EndpointState> =
+    fun usable(service: String, excluded: Set<EndpointId>): List<EndpointState> =
         states.values.filter { it.record.service == service && it.id !in excluded && mayServe(it) }
 
     fun ownerReachable(now: Long, state: EndpointState): Boolean {
         val owner = state.owner ?: return false
-        return owner == options.self.instance.name || (now - state.ownerHeardNanos < OWNER_NANOS && peers.live(now, owner))
+        return owner == options.self.instance.name ||
+            (now - state.ownerHeardNanos < OWNER_NANOS && peers.live(now, owner))
     }
 
     /** Requests that this daemon may send to one cold endpoint in a second: an even part of the fleet's bound. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRight.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRight.kt
@@ -7,7 +7,8 @@
  *
  * @property machine names the process slot and its address; a restarted process keeps the right of its machine.
  * @property token grows with every change of the holder or its incarnation, and goes with every order.
- * @property settled whether the holder has waited out every holder before it; a restarted process skips that wait only then.
+ * @property settled whether the holder has waited out every holder before it; only then does a restarted process skip
+ *   that wait.
  * @property released whether the holder gave the right up; the next one still waits out the lease.
  */
 @Serializable
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Owners.kt
@@ -0,0 +1,165 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.EndpointId
+import io.camphordrum.core.Rendezvous
+
+/**
+ * Keeps the adapters of the endpoints that this daemon owns, and asks other owners for those of theirs.
+ *
+ * The owner of an endpoint is the daemon that holds its right; a live daemon of the endpoint's data centre goes first.
+ */
+internal class Owners(
+    private val context: ServingContext,
+    private val rights: OrderRights,
+    private val startedNanos: Long,
+    private val waitingTokens: (EndpointId) -> Int,
+) {
+    private val book = context.book
+    private val peers = context.peers
+    private val keepers = HashMap<EndpointId, AdapterKeeper>()
+    private val waits = LoadWaits()
+
+    val count: Int get() = keepers.size
+
+    fun owns(id: EndpointId): Boolean = id in keepers
+
+    /** What this daemon says about its endpoints; only what rests on a report. */
+    fun holdings(): List<OwnedEndpoint> =
+        keepers.filterValues { it.informed }.map { (id, keeper) -> holdings(id, keeper) }
+
+    /** Claims and settles rights, and gives the orders that are due. */
+    fun tick(now: Long) {
+        waits.expire(now)
+        claim(now)
+        for ((id, keeper) in keepers.entries.toList()) book.get(id)?.let { step(now, it, keeper) }
+    }
+
+    /** Takes an ask of the daemon [from]. */
+    fun asked(now: Long, from: String, ask: ServingMessage.LoadAsk) {
+        val id = EndpointId(ask.endpoint)
+        val keeper = keepers[id]
+        if (keeper == null) {
+            answer(from, ServingMessage.LoadEnd(ask.endpoint, ask.adapter, ask.version, "not_owner"))
+        } else {
+            keeper.ask(now, from, ask)
+            book.get(id)?.let { step(now, it, keeper) }
+        }
+    }
+
+    /** Asks for the adapter of [work] at [endpoint]; the result stops the wait. */
+    fun await(now: Long, work: Work, endpoint: EndpointId, onEnd: (Boolean) -> Unit): () -> Unit {
+        val state = book.get(endpoint)
+        val adapter = work.adapter
+        val base = work.base
+        if (state == null || adapter == null || base == null) {
+            onEnd(false)
+            return {}
+        }
+        val waitMillis = minOf(LOAD_WAIT_MILLIS, (work.deadlineNanos - now) / OrderRights.NANOS_PER_MILLI)
+        val first = waits.add(endpoint.name, adapter, now + waitMillis * OrderRights.NANOS_PER_MILLI, onEnd)
+        if (first) {
+            val ask = ServingMessage.LoadAsk(endpoint.name, base, adapter, book.announced(base, adapter), waitMillis)
+            state.ownerQueue++
+            if (owns(endpoint)) {
+                asked(now, context.self.name, ask)
+            } else if (!context.send(state.owner, ask)) {
+                ended(ServingMessage.LoadEnd(ask.endpoint, ask.adapter, ask.version, "no_owner"))
+            }
+        }
+        return { waits.cancel(endpoint.name, adapter, onEnd) }
+    }
+
+    /** Takes the end of an ask of this daemon. */
+    fun ended(end: ServingMessage.LoadEnd) {
+        val state = book.get(EndpointId(end.endpoint))
+        if (state != null) {
+            state.ownerQueue = maxOf(0, state.ownerQueue - 1)
+            if (end.reason == null) state.held.values.singleOrNull()?.set(end.adapter, end.version ?: 0)
+        }
+        waits.end(end.endpoint, end.adapter, end.reason == null)
+    }
+
+    /** Puts own knowledge before what a former owner still says. */
+    fun assert() {
+        for (id in keepers.keys) book.get(id)?.owner = context.self.name
+    }
+
+    /** Forgets an endpoint that is gone; its right stays: the record may be back, and a token must never fall. */
+    fun gone(id: EndpointId) {
+        keepers.remove(id)
+    }
+
+    fun leave() {
+        rights.release()
+        keepers.clear()
+    }
+
+    private fun answer(daemon: String, end: ServingMessage.LoadEnd) {
+        if (daemon == context.self.name) ended(end) else context.send(daemon, end)
+    }
+
+    private fun claim(now: Long) {
+        val engines = book.all.filter { context.engine(it) != null && it.missingSinceNanos == null }
+        if (engines.isEmpty()) return
+        if (rights.older(now, if (rights.held.isEmpty()) IDLE_READ_NANOS else READ_NANOS)) rights.refresh(now)
+        rights.settle(now)
+        val settled = now - startedNanos > SETTLE_NANOS
+        val live = peers.liveDaemons(now)
+        for (state in engines) {
+            val near = live.filter { it.dataCentre == state.record.dataCentre }.ifEmpty { live }
+            val preferred = Rendezvous.first(state.id.name, near) { it.member.instance.name }
+            val mine = settled && preferred?.member?.instance == context.self && !state.dark(now)
+            rights.claim(now, state.id, mine) { machine -> holds(now, machine) }
+        }
+        for (id in rights.held) if (id !in keepers) book.get(id)?.let { keepers[id] = keeper(it) }
+        keepers.keys.retainAll(rights.held)
+    }
+
+    // All daemons of another data centre fall silent when it is cut off, and go on with their endpoints.
+    private fun holds(now: Long, machine: String): Boolean {
+        val daemon = peers.others.firstOrNull { it.machine == machine } ?: return false
+        val near = daemon.dataCentre == context.options.dataCentre
+        return peers.silence(now, daemon.member.instance.name) < if (near) NEAR_SILENCE_NANOS else FAR_SILENCE_NANOS
+    }
+
+    private fun keeper(state: EndpointState): AdapterKeeper {
+        context.ports.note("right_taken", mapOf("endpoint" to state.id.name, "token" to rights.token(state.id)))
+        state.owner = context.self.name
+        lateinit var keeper: AdapterKeeper
+        keeper = AdapterKeeper(
+            state,
+            rights,
+            context.ports.orders,
+            { base, adapter -> book.announced(base, adapter) },
+            ::answer,
+            context.ports.note,
+        ) { if (keepers[state.id] === keeper) step(rights.now(), state, keeper) }
+        return keeper
+    }
+
+    private fun step(now: Long, state: EndpointState, keeper: AdapterKeeper) {
+        val engine = context.engine(state) ?: return
+        if (!book.mayServe(state)) return
+        keeper.step(now, engine)
+        if (keeper.informed) book.owned(now, state, context.self.name, holdings(state.id, keeper))
+    }
+
+    private fun holdings(id: EndpointId, keeper: AdapterKeeper): OwnedEndpoint =
+        keeper.holdings().copy(waitingTokens = waitingTokens(id))
+
+    private companion object {
+        // Three loads from the store; whoever waits longer is late.
+        const val LOAD_WAIT_MILLIS = 800L
+
+        // Others that start at the same time need this long to be heard.
+        const val SETTLE_NANOS = 3_000_000_000L
+
+        // Three notices of a daemon nearby; longer than the cuts on the sheets for one far away.
+        const val NEAR_SILENCE_NANOS = 1_600_000_000L
+        const val FAR_SILENCE_NANOS = 9_000_000_000L
+
+        // Often enough for a right's validity of 2.5 s to bear one lost read.
+        const val READ_NANOS = 1_000_000_000L
+        const val IDLE_READ_NANOS = 2_000_000_000L
+    }
+}
--- a/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
@@ -8,7 +8,10 @@
     public val member: Member,
     public val dataCentre: DataCentreId,
     public val peerAddress: String,
-)
+) {
+    /** Names the machine of the daemon in a stored right. */
+    public val machine: String get() = "${member.instance.name}@${peerAddress.substringBeforeLast(':')}"
+}
 
 /** Knows the other daemons: who is registered, whom this daemon hears, and whose charges it knows through others. */
 internal class PeerTable(private val self: Member, private val startedNanos: Long) {
@@ -49,7 +52,8 @@
     fun learn(heardNanos: Long, member: Member, number: Long, charged: Map<String, Long>): Boolean {
         if (member.instance == self.instance) return false
         val before = charges[member.instance.name]
-        val newer = before == null || before.member.incarnation < member.incarnation ||
+        val newer = before == null ||
+            before.member.incarnation < member.incarnation ||
             (before.member.incarnation == member.incarnation && before.number < number)
         if (newer) charges[member.instance.name] = Heard(member, number, heardNanos, charged)
         return newer
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
@@ -20,8 +20,17 @@
     /** The request waits until [endpoint] holds its adapter. */
     public data class AwaitAdapter(public val endpoint: EndpointId, public val expectedMillis: Double) : Placement
 
-    /** The request is refused and has not run; the caller may come back after [retryMillis]. */
-    public data class Refuse(public val reason: RefuseReason, public val retryMillis: Long) : Placement
+    /**
+     * The request is refused and has not run; the caller may come back after [retryMillis].
+     *
+     * @property endpoint the best endpoint, where there was one, and the time that was expected there.
+     */
+    public data class Refuse(
+        public val reason: RefuseReason,
+        public val retryMillis: Long,
+        public val endpoint: EndpointId? = null,
+        public val expectedMillis: Double? = null,
+    ) : Placement
 }
 
 /** Names why a request is refused without having run. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
@@ -15,9 +15,15 @@
     /** Names an endpoint, what is expected of it, and whether its adapter must be brought first. */
     class Choice(val state: EndpointState, val millis: Double, val load: Boolean)
 
-    fun choose(now: Long, work: Work, service: ServedService, excluded: Set<EndpointId>, noLoad: Set<EndpointId>): Choice? {
+    fun choose(
+        now: Long,
+        work: Work,
+        service: ServedService,
+        excluded: Set<EndpointId>,
+        noLoad: Set<EndpointId>,
+    ): Choice? {
         val version = book.announced(work.base, work.adapter)
-        val usable = book.usable(now, work.service, excluded)
+        val usable = book.usable(work.service, excluded)
         val lit = usable.filterNot { it.dark(now) }.ifEmpty { usable }
         val ranked = if (work.adapter == null) lit else Rendezvous.order(work.adapter, lit) { it.id.name }
         return ranked.mapIndexedNotNull { rank, state -> choice(now, work, service, version, state, rank, noLoad) }
@@ -42,7 +48,11 @@
         val wait = engineMillis(now, work, engine, state) + penalty
         if (state.holds(base, work.adapter, version)) return Choice(state, wait, load = false)
         if (state.id in noLoad || !book.ownerReachable(now, state)) return null
-        return Choice(state, wait + LOAD_MILLIS * (1 + state.ownerQueue * QUEUED_PART) + rank * RANK_MILLIS, load = true)
+        return Choice(
+            state,
+            wait + LOAD_MILLIS * (1 + state.ownerQueue * QUEUED_PART) + rank * RANK_MILLIS,
+            load = true,
+        )
     }
 
     private fun penalty(now: Long, work: Work, state: EndpointState): Double {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -52,10 +52,8 @@
     /** Takes back an ask whose caller has left. */
     @Serializable
     @SerialName("d")
-    public data class TurnDrop(
-        @SerialName("e") public val endpoint: String,
-        @SerialName("i") public val id: String,
-    ) : ServingMessage
+    public data class TurnDrop(@SerialName("e") public val endpoint: String, @SerialName("i") public val id: String) :
+        ServingMessage
 }
 
 /**
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingOptions.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingOptions.kt
@@ -9,7 +9,8 @@
  * All bounds are the deployment's own and arrive with the settings; the defaults suit tests.
  *
  * @property self this incarnation of this daemon.
- * @property repeatRatio second sends that the whole fleet may make for each request of a service, in [repeatWindowMillis].
+ * @property repeatRatio second sends that the whole fleet may make for each request of a service, in
+ *   [repeatWindowMillis].
  * @property repeatSlack second sends on top of [repeatRatio].
  * @property coldFactor how much more than its own rate a cold endpoint may get in a second.
  * @property coldSlack requests on top of that.
--- a/core/src/test/kotlin/io/camphordrum/core/serving/AdapterKeeperTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/AdapterKeeperTest.kt
@@ -44,7 +44,12 @@
         load("y")
         fixture.run(400)
         assertEquals(2, fixture.engine.accepted)
-        assertTrue(fixture.engine.orders.groupBy { it.adapter }.getValue("y").all { it.expected == 1L || it.expected == 2L })
+        assertTrue(
+            fixture.engine.orders.groupBy { it.adapter }.getValue("y").all {
+                it.expected == 1L ||
+                    it.expected == 2L
+            },
+        )
         assertTrue("y" in fixture.engine.held)
     }
 
--- a/core/src/test/kotlin/io/camphordrum/core/serving/OrderRightsTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/OrderRightsTest.kt
@@ -83,8 +83,8 @@
         assertTrue(first.usable(clock.nanos, endpoint))
     }
 
-    // Guards against the broken rule of vapnar trouble-3: a successor that was killed while it waited for the lease of a
-    // dead holder gave orders at once after its restart.
+    // Guards against the broken rule of vapnar trouble-3: a successor that was killed while it waited for the lease of
+    // a dead holder gave orders at once after its restart.
     @Test
     fun `a process that restarts while it waits for a former holder waits again`() {
         take(rights("one"))
--- a/core/src/test/kotlin/io/camphordrum/core/serving/ServingFixture.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/ServingFixture.kt
@@ -84,7 +84,18 @@
     override fun report(endpoint: EndpointId, address: String, onEnd: (EndpointReport?) -> Unit) {
         settle()
         val models = listOfNotNull(base).map { HeldModel(it, held.associateWith { 1 }) }
-        val incoming = if (dueNanos.isEmpty()) emptyList() else listOf(HeldModel("m", dueNanos.keys.associateWith { 1 }))
+        val incoming = if (dueNanos.isEmpty()) {
+            emptyList()
+        } else {
+            listOf(
+                HeldModel(
+                    "m",
+                    dueNanos.keys.associateWith {
+                        1
+                    },
+                ),
+            )
+        }
         onEnd(if (silent) null else EndpointReport(accepted, false, models, incoming, startedEpochMillis = 1))
     }
 }
@@ -132,16 +143,31 @@
         CallerLimits(16_384, 1 shl 20, 3_000, 15_000),
     )
 
-    fun engineRecord(id: String, zone: String = "a", draining: Boolean = false, coldMillis: Long = 0, adapters: List<String> = emptyList()) =
+    fun engineRecord(
+        id: String,
+        zone: String = "a",
+        draining: Boolean = false,
+        coldMillis: Long = 0,
+        adapters: List<String> = emptyList(),
+    ) =
         EndpointRecord(
-            EndpointId(id), "models", "10.1.0.${id.hashCode().and(127)}:80", DataCentreId(zone), 64, draining, coldMillis, 1,
+            EndpointId(
+                id,
+            ),
+            "models", "10.1.0.${id.hashCode().and(127)}:80", DataCentreId(zone), 64, draining, coldMillis, 1,
             listOf(HeldModel("m", adapters.associateWith { 1 })),
         )
 
     fun deskRecord(id: String, zone: String = "a", draining: Boolean = false) =
         EndpointRecord(EndpointId(id), "desk", "10.2.0.9:80", DataCentreId(zone), 6, draining, 0, 1, emptyList())
 
-    fun work(id: String, adapter: String? = null, route: ServingRoute = drafts, tokens: Int = 1_000, account: String? = null) = Work(
+    fun work(
+        id: String,
+        adapter: String? = null,
+        route: ServingRoute = drafts,
+        tokens: Int = 1_000,
+        account: String? = null,
+    ) = Work(
         id, route, route.services.first().service, account, route.priority,
         if (route === drafts) "m" else null, adapter, tokens, tokens, clock.nanos, clock.nanos + 12_000_000_000,
     )
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerConnection.kt
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeLog.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeLog.kt
@@ -23,6 +23,10 @@
 
     /** Writes a request that was served; sampled unless it was [late]. */
     fun served(late: Boolean, fields: () -> Map<String, Any?>) {
-        if (late) write("served_late", fields()) else if (served++ % SAMPLE == 0) write("served", fields())
+        if (late) {
+            write("served_late", fields())
+        } else if (served++ % SAMPLE == 0) {
+            write("served", fields())
+        }
     }
 }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
@@ -92,4 +92,3 @@
     /** Whether a header of an endpoint's answer may reach a caller. */
     fun passes(name: String): Boolean
 }
-
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -63,7 +63,8 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         val current = send
-        if (message !is HttpObject || current == null || current.cancelled || message.decoderResult().isFailure) {
+        val readable = message is HttpObject && !message.decoderResult().isFailure
+        if (!readable || current == null || current.cancelled) {
             ReferenceCountUtil.release(message)
             // Bytes without a request belong to no one, and unreadable ones to nothing that can follow.
             if (current != null && !current.cancelled) fail(current, "bytes that are no answer") else send = null
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EventSplitter.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EventSplitter.kt
@@ -52,7 +52,12 @@
             if (bytes.getByte(at) == NEW_LINE) {
                 val before = bytes.getByte(at - 1)
                 if (before == NEW_LINE) return at + 1
-                if (before == RETURN && at - 2 >= bytes.readerIndex() && bytes.getByte(at - 2) == NEW_LINE) return at + 1
+                if (before == RETURN &&
+                    at - 2 >= bytes.readerIndex() &&
+                    bytes.getByte(at - 2) == NEW_LINE
+                ) {
+                    return at + 1
+                }
             }
             at--
         }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -92,19 +92,26 @@
         EdgeLog.write(
             "refused",
             mapOf(
-                "id" to call.id, "reason" to "over_limit", "account" to work.account,
-                "tokens" to work.chargedTokens, "retryMillis" to retryMillis,
+                "id" to call.id,
+                "reason" to "over_limit",
+                "account" to work.account,
+                "tokens" to work.chargedTokens,
+                "retryMillis" to retryMillis,
             ),
         )
         exchange.answer(Own.LIMIT.status, Own.LIMIT.reason, protocol.own(call, retryMillis), Unpooled.EMPTY_BUFFER)
     }
 
-    internal fun unavailable(exchange: CallerExchange, call: Call, reason: RefuseReason, retryMillis: Long) {
+    internal fun unavailable(
+        exchange: CallerExchange,
+        call: Call,
+        reason: RefuseReason,
+        retryMillis: Long,
+        inputs: Map<String, Any?> = emptyMap(),
+    ) {
         metrics.answers.labelValues(reason.name.lowercase()).inc()
-        EdgeLog.write(
-            "refused",
-            mapOf("id" to call.id, "reason" to reason.name.lowercase(), "retryMillis" to retryMillis),
-        )
+        val outcome = mapOf("id" to call.id, "reason" to reason.name.lowercase(), "retryMillis" to retryMillis)
+        EdgeLog.write("refused", inputs + outcome)
         val own = Own.UNAVAILABLE
         exchange.answer(own.status, own.reason, protocol.own(call, retryMillis), Unpooled.EMPTY_BUFFER)
     }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -9,9 +9,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.util.concurrent.Future
-import java.nio.charset.StandardCharsets.ISO_8859_1
 import java.util.concurrent.TimeUnit
 
 /**
@@ -58,7 +56,7 @@
         when (val placement = core.place(now(), work, tried + full, noLoad)) {
             is Placement.Send -> takeTurn(placement)
             is Placement.AwaitAdapter -> await(placement)
-            is Placement.Refuse -> giveUp(placement.reason, placement.retryMillis)
+            is Placement.Refuse -> giveUp(placement.reason, placement.retryMillis, placement)
         }
     }
 
@@ -114,18 +112,9 @@
     }
 
     private fun request(placement: Placement.Send, leftMillis: Long): ByteBuf {
-        val head = exchange.head
         val headers = DefaultHttpHeaders(false)
-        forwarder.protocol.forward(head, work, placement, leftMillis, splitter?.lastId, headers)
-        val body = exchange.body
-        val framed = body.isReadable || head.headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
-            head.headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-        val out = Unpooled.buffer(HEAD_BYTES + body.readableBytes())
-        out.writeCharSequence("${head.method} ${head.target} HTTP/1.1\r\n", ISO_8859_1)
-        for ((name, value) in headers) out.writeCharSequence("$name: $value\r\n", ISO_8859_1)
-        if (framed) out.writeCharSequence("content-length: ${body.readableBytes()}\r\n", ISO_8859_1)
-        out.writeCharSequence("\r\n", ISO_8859_1)
-        return out.writeBytes(body, body.readerIndex(), body.readableBytes())
+        forwarder.protocol.forward(exchange.head, work, placement, leftMillis, splitter?.lastId, headers)
+        return requestBytes(exchange.head, headers, exchange.body)
     }
 
     /** Sends the request again if its kind, its route and the budget allow; else answers for good. */
@@ -134,21 +123,28 @@
         if (mayHaveRun) runs++
         val repeatable = !mayHaveRun || work.route.repetition != Repetition.FORBIDDEN
         val resumable = !exchange.begun || (splitter?.lastId != null)
-        if (repeatable && resumable && runs < work.route.maxEndpoints && now() < work.deadlineNanos) {
+        val left = runs < work.route.maxEndpoints && now() < work.deadlineNanos
+        if (repeatable && resumable && left) {
             step()
         } else {
             broken(why)
         }
     }
 
-    private fun giveUp(reason: RefuseReason, retryMillis: Long) {
+    private fun giveUp(reason: RefuseReason, retryMillis: Long, placement: Placement.Refuse? = null) {
         if (runs > 0 || exchange.begun) {
             broken("gave_up_${reason.name.lowercase()}")
             return
         }
         if (!finish()) return
         core.refund(work)
-        forwarder.unavailable(exchange, call, reason, retryMillis)
+        val best = mapOf(
+            "turns" to turns,
+            "bestEndpoint" to placement?.endpoint?.name,
+            "bestMillis" to placement?.expectedMillis?.toLong(),
+            "promptTokens" to work.promptTokens,
+        )
+        forwarder.unavailable(exchange, call, reason, retryMillis, fields() + best)
     }
 
     private fun broken(why: String) {
@@ -174,7 +170,7 @@
             current != null || runs > 0 -> own(Own.TIMEOUT)
             else -> {
                 core.refund(work)
-                forwarder.unavailable(exchange, call, RefuseReason.BUSY, RETRY_MILLIS)
+                forwarder.unavailable(exchange, call, RefuseReason.BUSY, RETRY_MILLIS, fields())
             }
         }
     }
@@ -299,8 +295,10 @@
             again(endpoint, mayHaveRun = false, "turned away with status $status")
         }
 
-        private fun retriesStatus(status: Int): Boolean = status >= SERVER_ERROR && !exchange.begun &&
-            work.route.repetition == Repetition.ALLOWED && runs + 1 < work.route.maxEndpoints
+        private fun retriesStatus(status: Int): Boolean = status >= SERVER_ERROR &&
+            !exchange.begun &&
+            work.route.repetition == Repetition.ALLOWED &&
+            runs + 1 < work.route.maxEndpoints
 
         private fun relay(first: AnswerHead, part: ByteBuf) {
             val now = now()
@@ -374,7 +372,6 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
-        const val HEAD_BYTES = 1_024
         const val SERVER_ERROR = 500
         val SUCCESS = 200..299
 
