Count a load as 400 ms in placement

Cause: copies of adapters were brought to a second endpoint when that saved less than they cost in places and fetches.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placer.kt
@@ -85,8 +85,9 @@
         const val RUN_MILLIS = 2_000.0
         const val PLAIN_MILLIS = 60.0
 
-        // The sheets of both deployments: an adapter takes 250 ms while few are under way.
-        const val LOAD_MILLIS = 250.0
+        // The sheets: an adapter takes 250 ms while few are under way. A copy also takes a place and a fetch from the
+        // store, so it must save more than its own time.
+        const val LOAD_MILLIS = 400.0
 
         // Four adapters come at once, so each that waits before this one adds a quarter of a load.
         const val QUEUED_PART = 0.25
