--- /dev/null
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/TwoDaemonsTest.kt
@@ -0,0 +1,131 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.InstanceId
+import io.camphordrum.core.Member
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+/** Runs two daemons of one data centre that share a store and an engine, and carries their messages. */
+class TwoDaemonsTest {
+    private val clock = HandClock()
+    private val rights = FakeRights()
+    private val one = ServingFixture("edge-a1", clock, rights)
+    private val two = ServingFixture("edge-a2", clock, rights)
+    private val both = listOf(one, two)
+    private var connected = true
+
+    private fun deliver() {
+        repeat(4) {
+            for ((from, to) in listOf(one to two, two to one)) {
+                val messages = from.sent.toList()
+                from.sent.clear()
+                if (connected) for ((_, message) in messages) to.core.heard(clock.nanos, from.self.member, message)
+            }
+        }
+    }
+
+    private fun run(millis: Long, daemons: List<ServingFixture> = both) {
+        repeat((millis / 20).toInt()) {
+            clock.pass(20)
+            daemons.forEach { it.core.tick(clock.nanos) }
+            deliver()
+        }
+    }
+
+    private fun start() {
+        for (daemon in both) {
+            daemon.core.configure(clock.nanos, daemon.config())
+            daemon.core.daemons(both.map { it.self })
+            daemon.core.endpoints(clock.nanos, listOf(daemon.engineRecord("i-1")), afterGap = false)
+        }
+        run(5_000)
+    }
+
+    private fun owner() = both.single { it.core.ownedCount == 1 }
+
+    private fun other() = both.single { it.core.ownedCount == 0 }
+
+    @Test
+    fun `one of two daemons owns an endpoint`() {
+        start()
+        assertEquals(1, rights.writes)
+        assertNotNull(owner())
+    }
+
+    @Test
+    fun `a daemon gets an adapter and a turn from the owner`() {
+        start()
+        val asker = other()
+        val work = asker.work("r1", "x")
+        val placement = assertIs<Placement.AwaitAdapter>(asker.core.place(clock.nanos, work))
+        var loaded: Boolean? = null
+        asker.core.await(clock.nanos, work, placement.endpoint) { loaded = it }
+        deliver()
+        run(400)
+        assertEquals(true, loaded)
+        assertEquals(setOf("x"), owner().engine.held)
+        val send = assertIs<Placement.Send>(asker.core.place(clock.nanos, work))
+        var turn: Boolean? = null
+        asker.core.turn(clock.nanos, work, send.endpoint) { turn = it }
+        deliver()
+        assertEquals(true, turn)
+    }
+
+    // Guards against an endpoint without an owner after its daemon has died, and against orders of two daemons.
+    @Test
+    fun `the endpoint of a daemon that fell silent gets a new owner after the lease`() {
+        start()
+        val dead = owner()
+        val heir = other()
+        connected = false
+        run(3_000, listOf(heir))
+        assertEquals(1, heir.core.ownedCount)
+        val before = dead.engine.orders.size
+        run(7_000, listOf(heir))
+        assertEquals(before, dead.engine.orders.size)
+        val work = heir.work("r1", "y")
+        val placement = assertIs<Placement.AwaitAdapter>(heir.core.place(clock.nanos, work))
+        var loaded: Boolean? = null
+        heir.core.await(clock.nanos, work, placement.endpoint) { loaded = it }
+        run(800, listOf(heir))
+        assertEquals(true, loaded)
+        assertTrue(heir.engine.orders.all { it.token == 2L })
+    }
+
+    // Guards against requests that wait for an owner that cannot answer.
+    @Test
+    fun `without an owner in reach a request goes to an endpoint that holds its adapter`() {
+        start()
+        val asker = other()
+        val record = asker.engineRecord("i-1", adapters = listOf("x"))
+        connected = false
+        run(2_000, listOf(asker))
+        asker.core.endpoints(clock.nanos, listOf(record), afterGap = false)
+        val work = asker.work("r1", "x")
+        val send = assertIs<Placement.Send>(asker.core.place(clock.nanos, work))
+        var turn: Boolean? = null
+        asker.core.turn(clock.nanos, work, send.endpoint) { turn = it }
+        assertEquals(true, turn)
+    }
+
+    // Guards against requests that begin on a version of their adapter that is older than the announced one.
+    @Test
+    fun `an endpoint with an older version of an adapter does not hold it`() {
+        start()
+        val daemon = other()
+        daemon.core.endpoints(clock.nanos, listOf(daemon.engineRecord("i-2", adapters = listOf("x"))), afterGap = false)
+        assertIs<Placement.Send>(daemon.core.place(clock.nanos, daemon.work("r1", "x")))
+        daemon.core.announce(mapOf(("m" to "x") to 2))
+        assertTrue(daemon.core.place(clock.nanos, daemon.work("r2", "x")) !is Placement.Send)
+    }
+
+    @Test
+    fun `a member is named by its machine in a right`() {
+        val daemon = RegisteredDaemon(Member(InstanceId("edge-a1"), 3), DataCentreId("a"), "10.0.0.1:7600")
+        assertEquals("edge-a1@10.0.0.1", daemon.machine)
+    }
+}
