--- a/core/src/main/kotlin/io/camphordrum/core/serving/AdapterKeeper.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/AdapterKeeper.kt
@@ -78,14 +78,15 @@
             return
         }
         val model = base
-        if (model == null) {
-            val wanted = engine.baseModels.firstOrNull() ?: return
-            if (!mayLoadBase(now)) return
-            send(now, load = true, wanted.name, adapter = null, version = null)
-            return
+        when {
+            model == null -> loadBase(now, engine)
+            !check(now, model) -> next(now, model, engine)
         }
-        if (check(now, model)) return
-        next(now, model, engine)
+    }
+
+    private fun loadBase(now: Long, engine: EngineLimits) {
+        val wanted = engine.baseModels.firstOrNull() ?: return
+        if (mayLoadBase(now)) send(now, load = true, wanted.name, adapter = null, version = null)
     }
 
     private fun check(now: Long, model: String): Boolean {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/BaseLoadBudget.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/BaseLoadBudget.kt
@@ -1,8 +1,9 @@
 package io.camphordrum.core.serving
 
 /**
- * Bounds the loads of base models that this daemon orders in a sliding window, so that the weight store's rate holds over
- * the fleet without any exchange.
+ * Bounds the loads of base models that this daemon orders in a sliding window.
+ *
+ * Each daemon uses an even part of the weight store's rate, so it holds over the fleet without any exchange.
  */
 internal class BaseLoadBudget(private val options: ServingOptions) {
     private val ordered = ArrayDeque<Long>()
--- a/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
@@ -64,7 +64,7 @@
         }
     }
 
-    /** Reads the rights again if the right to [endpoint] is unusable for no other reason than the age of its last read. */
+    /** Reads the rights again if the right to [endpoint] is unusable only because its last read is too old. */
     fun refreshStale(now: Long, endpoint: EndpointId) {
         val right = mine[endpoint] ?: return
         // A successor that waits for the lease gains nothing from reading.
