--- a/core/src/main/kotlin/io/camphordrum/core/serving/AdapterKeeper.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/AdapterKeeper.kt
@@ -48,8 +48,8 @@
             asks.size,
         )
 
-    /** Whether what this keeper believes rests on a report of the endpoint. */
-    val informed: Boolean get() = accepted != null && base != null
+    /** Whether what this keeper believes rests on a report, though its next order may need a newer one. */
+    val informed: Boolean get() = base != null
 
     fun ask(now: Long, asker: String, ask: ServingMessage.LoadAsk) {
         val until = now + ask.waitMillis * OrderRights.NANOS_PER_MILLI
--- a/core/src/test/kotlin/io/camphordrum/core/serving/AdapterKeeperTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/AdapterKeeperTest.kt
@@ -131,6 +131,20 @@
         assertEquals(2, loads)
     }
 
+    // Guards against refusals for want of an owner in the 400 ms after an order without an answer, in which the owner
+    // only waits for a report that shows what became of the order.
+    @Test
+    fun `an owner that waits for a report still takes asks`() {
+        start()
+        fixture.engine.silent = true
+        load("x")
+        fixture.run(20)
+        fixture.engine.silent = false
+        val loaded = load("y")
+        fixture.run(800)
+        assertEquals(true, loaded())
+    }
+
     // Guards against late orders: an engine that leaves an order unanswered may carry it out seconds later.
     @Test
     fun `an order without an answer is followed by a report, never by a guess`() {
