--- a/core/src/test/kotlin/io/camphordrum/core/serving/TwoDaemonsTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/TwoDaemonsTest.kt
@@ -97,6 +97,29 @@
         assertTrue(heir.engine.orders.all { it.token == 2L })
     }
 
+    // Guards against engine time that is kept for callers who have left while their request waited for its turn.
+    @Test
+    fun `a caller that leaves while its request waits for a turn gives up its place`() {
+        start()
+        val asker = other()
+        for (daemon in both) {
+            daemon.core.endpoints(clock.nanos, listOf(daemon.engineRecord("i-1", adapters = listOf("x"))), false)
+        }
+        val turns = HashMap<String, Boolean>()
+        fun ask(id: String, tokens: Int): () -> Unit {
+            val work = asker.work(id, "x", tokens = tokens)
+            return asker.core.turn(clock.nanos, work, EndpointId("i-1")) { turns[id] = it }.also { deliver() }
+        }
+        ask("first", 1_600)
+        val leave = ask("leaves", 1_600)
+        run(20)
+        leave()
+        deliver()
+        ask("next", 200)
+        run(60)
+        assertEquals(mapOf("first" to true, "next" to true), turns)
+    }
+
     // Guards against requests that wait for an owner that cannot answer.
     // Guards against the 5,000 needless store calls of a recorded day: each request that asked a new owner for a load
     // while it waited for the lease made it read all rights again, 70 times a second.
