--- a/core/src/test/kotlin/io/camphordrum/core/serving/ModelDay.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/ModelDay.kt
@@ -29,7 +29,7 @@
 /**
  * Drives the decision cores of several daemons before model engines, on time that only this class moves.
  *
- * What a daemon does between two decisions is as in its forwarding: place, wait for the adapter, wait for the turn, send.
+ * Between two decisions a daemon does what its forwarding does: place, wait for the adapter and for the turn, send.
  */
 internal class ModelDay(daemons: Int = 3, engines: Int = 6, places: Int = 14, seed: Int = 1) {
     val clock = HandClock()
