Log the rate limits that endpoints announce and the requests sent to such endpoints

Callers' endpoints in need got more requests than the limit that they announce, and neither logs nor metrics showed whether a daemon had learned the limit or what it sent afterwards. The header is now read, and an endpoint's limit is kept with its state: it begins when an answer announces it, and ends with the answer to a later request that does not, or with a restart. No decision uses it yet.

New lines: endpoint_limit (a limit begins, changes, ends), limited_send (each request sent to a limited endpoint) and limit_unreadable.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
@@ -48,7 +48,10 @@
         state.record = record
         state.coldUntilNanos =
             if (record.coldMillis > 0) now + record.coldMillis * 1_000_000 else minOf(state.coldUntilNanos, now)
-        if (restarted) state.held.clear()
+        if (restarted) {
+            state.held.clear()
+            state.announcedLimit.reset()
+        }
         val ownerReports = state.owner != null && now - state.ownerReportedNanos < ownerTimeoutNanos
         if (!ownerReports || restarted || existing == null) {
             state.held.clear()
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
@@ -44,6 +44,9 @@
     /** No request is sent before this time, because the endpoint requested a pause. */
     var pausedUntilNanos = Long.MIN_VALUE / 2
 
+    /** Rate limit that the endpoint announces in its answers. */
+    val announcedLimit = AnnouncedLimit()
+
     var coldUntilNanos = 0L
     private val peerLoads = HashMap<String, PeerLoad>()
     private val coldSends = ArrayDeque<Long>()
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -79,6 +79,13 @@
     /** Number of endpoints that this daemon owns. */
     public val ownedCount: Int get() = ownership.count
 
+    /** Number of endpoints that announce a rate limit. */
+    public val limitedEndpointCount: Int get() = registry.all.count { it.announcedLimit.perSecond != null }
+
+    /** Number of requests that this daemon has sent to endpoints that announced a rate limit. */
+    public var limitedSendCount: Long = 0
+        private set
+
     /** Applies [next] and returns true, unless the current version is the same or newer. */
     public fun configure(now: Long, next: ServingConfig): Boolean {
         val before = config
@@ -207,6 +214,11 @@
     /** Records that [work] was sent to [endpoint]. */
     public fun recordSend(now: Long, work: Work, endpoint: EndpointId) {
         val state = registry.get(endpoint) ?: return
+        state.announcedLimit.perSecond?.let { limit ->
+            limitedSendCount++
+            val fields = mapOf("id" to work.id, "endpoint" to endpoint.name, "perSecond" to limit)
+            ports.logEvent("limited_send", fields)
+        }
         if (work.base != null) state.expectedReadMillis[work.id] = selector.readMillis(now, work, state)
         state.unanswered[work.id] = work
         state.recordSend(now)
@@ -247,6 +259,19 @@
         ports.logEvent("endpoint_paused", mapOf("endpoint" to endpoint.name, "millis" to millis))
     }
 
+    /**
+     * Records what an answer of [endpoint] says about its rate limit.
+     *
+     * @param sentNanos when the request was sent.
+     * @param perSecond requests a second that the endpoint accepts from all daemons together; null if the answer
+     *   announces no limit.
+     */
+    public fun recordAnnouncedLimit(now: Long, endpoint: EndpointId, sentNanos: Long, perSecond: Double?) {
+        val limit = registry.get(endpoint)?.announcedLimit ?: return
+        val changed = if (perSecond == null) limit.recordNoLimit(sentNanos) else limit.recordLimit(now, perSecond)
+        if (changed) ports.logEvent("endpoint_limit", mapOf("endpoint" to endpoint.name, "perSecond" to perSecond))
+    }
+
     /** Records how the run of [work] at [endpoint] ended. */
     public fun recordRunEnd(now: Long, work: Work, endpoint: EndpointId, end: RunEnd) {
         val state = registry.get(endpoint) ?: return
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
@@ -46,8 +46,25 @@
  *
  * @property leaving whether the endpoint accepts no more requests until it has restarted.
  * @property pauseMillis how long the endpoint accepts no requests; null when it announces no pause.
+ * @property rateLimit the rate of requests that the endpoint accepts from all daemons together.
  */
-data class EndpointAvailability(val leaving: Boolean, val pauseMillis: Long?)
+data class EndpointAvailability(
+    val leaving: Boolean,
+    val pauseMillis: Long?,
+    val rateLimit: AnnouncedRate = AnnouncedRate.None,
+)
+
+/** Represents what an answer says about the rate of requests that its endpoint accepts. */
+sealed interface AnnouncedRate {
+    /** The answer announces no limit. */
+    data object None : AnnouncedRate
+
+    /** The endpoint accepts [perSecond] requests a second from all daemons together. */
+    data class Limited(val perSecond: Double) : AnnouncedRate
+
+    /** The answer announces a limit that cannot be read, as [text]. */
+    data class Unreadable(val text: String) : AnnouncedRate
+}
 
 /** Classifies an endpoint's answer by its head, before any of it is forwarded to the caller. */
 enum class AnswerClassification {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.daemon.edge
 
 import io.camphordrum.core.Clock
+import io.camphordrum.core.EndpointId
 import io.camphordrum.core.serving.RefuseReason
 import io.camphordrum.core.serving.ServingConfig
 import io.camphordrum.core.serving.ServingCore
@@ -126,6 +127,28 @@
         exchange.answer(own.status, own.reason, protocol.ownHeaders(request, retryMillis), Unpooled.EMPTY_BUFFER)
     }
 
+    /**
+     * Records the availability that an answer announces for [endpoint].
+     *
+     * @param sentNanos when the request was sent.
+     * @param provesNoLimit whether an answer without a rate limit shows that the endpoint has none; a late copy of an
+     *   older answer does not.
+     */
+    internal fun recordAvailability(answer: AnswerHead, endpoint: EndpointId, sentNanos: Long, provesNoLimit: Boolean) {
+        val now = clock.nanos()
+        val availability = protocol.availability(answer)
+        if (availability.leaving) core.markLeaving(endpoint)
+        availability.pauseMillis?.let { core.pauseEndpoint(now, endpoint, it) }
+        when (val rate = availability.rateLimit) {
+            is AnnouncedRate.Limited -> core.recordAnnouncedLimit(now, endpoint, sentNanos, rate.perSecond)
+            AnnouncedRate.None -> if (provesNoLimit) core.recordAnnouncedLimit(now, endpoint, sentNanos, null)
+            is AnnouncedRate.Unreadable -> EdgeLog.write(
+                "limit_unreadable",
+                mapOf("endpoint" to endpoint.name, "limit" to rate.text.take(MAX_LOGGED_CHARS)),
+            )
+        }
+    }
+
     private fun refuse(exchange: CallerExchange, request: CallerRequest?, own: Own, reason: String) {
         metrics.answers.labelValues(own.name.lowercase()).inc()
         EdgeLog.write(
@@ -139,6 +162,7 @@
         const val NANOS_PER_MILLI = 1_000_000L
         const val NO_CONFIG_RETRY_MILLIS = 500L
         const val MAX_PROMPT_PARTS = 8_192
+        const val MAX_LOGGED_CHARS = 40
     }
 }
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -234,8 +234,15 @@
         }
 
         override fun onHead(head: AnswerHead): Boolean {
-            applyAvailability(forwarder.protocol.availability(head))
             val classified = forwarder.protocol.classify(head, request)
+            // Before any of the answer is forwarded, so that no other request is sent to the endpoint in between.
+            forwarder.recordAvailability(
+                head,
+                endpoint,
+                sentNanos,
+                provesNoLimit =
+                classified == AnswerClassification.PROPER,
+            )
             if (classified == AnswerClassification.OTHER_REQUEST) {
                 EdgeLog.write("other_answer", fields() + mapOf("status" to head.status))
                 return false
@@ -254,12 +261,6 @@
             return true
         }
 
-        // Runs before any of the answer is forwarded, so that no other request is sent to the endpoint in between.
-        private fun applyAvailability(availability: EndpointAvailability) {
-            if (availability.leaving) core.markLeaving(endpoint)
-            availability.pauseMillis?.let { core.pauseEndpoint(now(), endpoint, it) }
-        }
-
         override fun onPart(part: ByteBuf) {
             val first = head
             if (closed || first == null || classification != AnswerClassification.PROPER) {
