--- /dev/null
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
@@ -0,0 +1,337 @@
+package io.camphordrum.core.serving
+
+import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.EndpointId
+import io.camphordrum.core.InstanceId
+import io.camphordrum.core.Member
+import kotlin.random.Random
+
+/**
+ * Runs a fleet of serving cores in three data centres whose callers use three endpoints, one in each data centre.
+ *
+ * Endpoints announce rate limits in their answers. The fleet records what each endpoint receives and which daemons had
+ * passed on an announcement, and checks the platform's rule for announced limits with [violations].
+ */
+internal class LimitedFleet(private val size: Int, private val plain: Boolean, seed: Int) {
+    /** A request that reached an endpoint. */
+    class Arrival(val nanos: Long, val daemon: String)
+
+    /** An endpoint that announces [limit] requests a second from [limitedFromNanos] on while it is not null. */
+    class Replica(val record: EndpointRecord) {
+        val arrivals = ArrayList<Arrival>()
+        var limit: Double? = null
+        var limitedFromNanos = 0L
+
+        /** When each daemon first passed on an answer that announces the limit. */
+        val toldNanos = HashMap<String, Long>()
+
+        /** Whether it turns one in four requests away without running them. */
+        var turnsAway = false
+    }
+
+    private class Node(var registered: RegisteredDaemon, var core: ServingCore) {
+        var state = State.RUNNING
+        val excused = ArrayList<LongRange>()
+        val name get() = registered.member.instance.name
+    }
+
+    private enum class State { RUNNING, FROZEN, DEAD }
+
+    /** A request at the process [core] of [node]. */
+    private data class Attempt(
+        val node: Node,
+        val core: ServingCore,
+        val work: Work,
+        val tried: Set<EndpointId> = emptySet(),
+        val sends: Int = 0,
+    ) {
+        fun without(endpoint: EndpointId) = copy(tried = tried + endpoint)
+    }
+
+    private class Delivery(val to: Node, val core: ServingCore, val from: Member, val message: ServingMessage)
+
+    private val random = Random(seed)
+    val clock = ManualClock()
+    private val fixture = ServingFixture("none", clock)
+    private val rights = FakeRightStore()
+    private val queue = ArrayDeque<Delivery>()
+    private val events = java.util.PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+    val replicas: List<Replica> = (0 until DATA_CENTRES).map { zone ->
+        val record = if (plain) {
+            fixture.plainRecord("d-$zone", zoneName(zone)).copy(slots = 64)
+        } else {
+            fixture.engineRecord("i-$zone", zoneName(zone), adapters = listOf("x"))
+        }
+        Replica(record)
+    }
+    private val engines = replicas.associate {
+        it.record.id to FakeEngine(clock).apply {
+            held += "x"
+        }
+    }
+    private val nodes = (0 until size).map {
+        val member = Member(InstanceId("edge-$it"), 1L + it)
+        val registered = RegisteredDaemon(member, DataCentreId(zoneName(it % DATA_CENTRES)), "10.0.0.$it:7600")
+        Node(registered, core(registered))
+    }
+    private val config = fixture.config(
+        routes = listOf(fixture.drafts.copy(repetition = Repetition.ALLOWED), fixture.records),
+    )
+    private var requests = 0
+
+    /** Whether messages and requests pass between two data centres. */
+    var connects: (String, String) -> Boolean = { _, _ -> true }
+
+    /** Part of the messages between daemons that are lost. */
+    var lossRate = 0.0
+
+    /** Requests of all callers a second. */
+    var demandPerSecond = 0.0
+
+    /** Number of requests that reached an endpoint. */
+    var served = 0
+        private set
+
+    /** Retry times of the refused requests, in milliseconds. */
+    val refusals = ArrayList<Long>()
+
+    /** Time from the arrival of each request until it was sent or refused, in milliseconds. */
+    val decisionMillis = ArrayList<Long>()
+
+    init {
+        nodes.forEach(::introduce)
+    }
+
+    val now get() = clock.nanos
+
+    /** Makes [replica] announce [perSecond] from now on; null ends the announcements. */
+    fun announce(replica: Replica, perSecond: Double?) {
+        replica.limit = perSecond
+        replica.limitedFromNanos = now
+        replica.arrivals.clear()
+        replica.toldNanos.clear()
+    }
+
+    /** Kills a daemon, and starts it again after [downMillis]; null means never. */
+    fun kill(name: String, downMillis: Long?) {
+        val node = nodes.first { it.name == name }
+        node.state = State.DEAD
+        excuse(node, downMillis ?: NEVER_MILLIS)
+        if (downMillis == null) {
+            at(REMOVAL_MILLIS) { announceDaemons() }
+            return
+        }
+        at(downMillis) {
+            val member = Member(node.registered.member.instance, node.registered.member.incarnation + 1_000)
+            node.registered = node.registered.copy(member = member)
+            node.core = core(node.registered)
+            node.state = State.RUNNING
+            introduce(node)
+            at(REMOVAL_MILLIS) { announceDaemons() }
+        }
+    }
+
+    fun freeze(name: String, millis: Long) {
+        val node = nodes.first { it.name == name }
+        node.state = State.FROZEN
+        excuse(node, millis)
+        at(millis) { node.state = State.RUNNING }
+    }
+
+    /** Separates the data centre [zone] from the others. */
+    fun cut(zone: Int, millis: Long) {
+        val name = zoneName(zone)
+        connects = { a, b -> (a == name) == (b == name) }
+        nodes.filter { it.registered.dataCentre.name == name }.forEach { excuse(it, millis) }
+        at(millis) { connects = { _, _ -> true } }
+    }
+
+    fun stopStore(millis: Long) {
+        rights.available = false
+        at(millis) { rights.available = true }
+    }
+
+    /** Names of the daemons of [zone]. */
+    fun names(
+        zone: Int,
+    ): List<String> = nodes.filter { it.registered.dataCentre.name == zoneName(zone) }.map { it.name }
+
+    fun run(millis: Long) = repeat((millis / TICK_MILLIS).toInt()) {
+        clock.advance(TICK_MILLIS)
+        while (events.isNotEmpty() && events.peek().first <= now) events.poll().second()
+        repeat(queue.size) {
+            val delivery = queue.removeFirst()
+            val node = delivery.to
+            // A frozen process receives its messages when it continues.
+            if (node.state == State.FROZEN) queue += delivery
+            if (node.state == State.RUNNING && node.core === delivery.core) {
+                node.core.receive(now, delivery.from, delivery.message)
+            }
+        }
+        for (node in nodes) if (node.state == State.RUNNING) node.core.tick(now)
+        var due = demandPerSecond * TICK_MILLIS / 1_000
+        while (random.nextDouble() < due--) request(nodes.filter { it.state == State.RUNNING }.random(random))
+    }
+
+    /**
+     * Returns the windows in which an endpoint received more requests than its limit allows.
+     *
+     * Counts the requests of daemons that had passed on an announcement half a second before or earlier, except for
+     * those that were killed, frozen or cut off within the contact time before.
+     */
+    fun violations(): List<String> = replicas.flatMap { replica ->
+        val limit = replica.limit ?: return@flatMap emptyList()
+        val allowed = limit * WINDOW_NANOS / 1e9 * RULE_FACTOR + RULE_SLACK
+        val first = replica.toldNanos.values.minOrNull() ?: return@flatMap emptyList()
+        val counted = replica.arrivals.filter { arrival ->
+            val told = replica.toldNanos[arrival.daemon] ?: return@filter false
+            val node = nodes.first { it.name == arrival.daemon }
+            arrival.nanos >= first + CONTACT_NANOS &&
+                arrival.nanos >= told + TOLD_NANOS &&
+                node.excused.none { arrival.nanos in it }
+        }
+        val worst = counted.indices.maxByOrNull { countFrom(counted, it) } ?: return@flatMap emptyList()
+        val count = countFrom(counted, worst)
+        if (count <= allowed) return@flatMap emptyList()
+        val seconds = (counted[worst].nanos - replica.limitedFromNanos) / 1e9
+        listOf("${replica.record.id.name}: $count requests in 4 s from $seconds s on, allowed $allowed")
+    }
+
+    private fun countFrom(arrivals: List<Arrival>, index: Int): Int {
+        val start = arrivals[index].nanos
+        return arrivals.subList(index, arrivals.size).count { it.nanos - start < WINDOW_NANOS }
+    }
+
+    /** Returns the requests that [replica] received in the last [millis]. */
+    fun arrivalsIn(replica: Replica, millis: Long): Int =
+        replica.arrivals.count { now - it.nanos <= millis * 1_000_000 }
+
+    private fun request(node: Node) {
+        requests++
+        val route = if (plain) fixture.records else fixture.drafts
+        val work = fixture.work("r$requests", if (plain) null else "x", route, tokens = 50)
+        node.core.recordRequest(now, work.service)
+        place(Attempt(node, node.core, work))
+    }
+
+    private fun place(attempt: Attempt): Unit = whenRunning(attempt) {
+        val core = attempt.core
+        when (val placement = core.place(now, attempt.work, attempt.tried)) {
+            is Placement.Send -> core.awaitTurn(now, attempt.work, placement.endpoint) { granted ->
+                if (granted) send(attempt, placement) else at(0) { place(attempt.without(placement.endpoint)) }
+            }
+            is Placement.AwaitAdapter -> refuse(attempt.work, 0)
+            is Placement.Refuse -> refuse(attempt.work, placement.retryMillis)
+        }
+    }
+
+    private fun refuse(work: Work, retryMillis: Long) {
+        refusals += retryMillis
+        decisionMillis += (now - work.arrivedNanos) / 1_000_000
+    }
+
+    private fun send(attempt: Attempt, to: Placement.Send) {
+        val core = attempt.core
+        val work = attempt.work
+        if (attempt.sends > 0 && !core.tryAcquireRetry(now, work.service)) return refuse(work, 0)
+        if (attempt.sends == 0) decisionMillis += (now - work.arrivedNanos) / 1_000_000
+        val sentNanos = now
+        val replica = replicas.first { it.record.id == to.endpoint }
+        core.recordSend(now, work, to.endpoint)
+        if (!connects(attempt.node.registered.dataCentre.name, replica.record.dataCentre.name)) {
+            at(SILENCE_MILLIS) { whenRunning(attempt) { core.recordRunEnd(now, work, to.endpoint, RunEnd.SILENT) } }
+            return
+        }
+        at(TICK_MILLIS) {
+            replica.arrivals += Arrival(now, attempt.node.name)
+            val runs = !replica.turnsAway || random.nextInt(4) > 0
+            at(if (runs) ANSWER_MILLIS else TICK_MILLIS) {
+                val limit = replica.limit
+                whenRunning(attempt) { answer(attempt, replica, sentNanos, limit, runs) }
+            }
+        }
+    }
+
+    private fun answer(attempt: Attempt, replica: Replica, sentNanos: Long, limit: Double?, runs: Boolean) {
+        val core = attempt.core
+        val work = attempt.work
+        val id = replica.record.id
+        core.recordAnnouncedLimit(now, id, sentNanos, limit)
+        if (limit != null) replica.toldNanos.putIfAbsent(attempt.node.name, now)
+        if (runs) {
+            served++
+            core.recordFirstPart(work, id, ANSWER_MILLIS.toDouble(), (now - sentNanos) / 1e6)
+            at(RUN_MILLIS) { whenRunning(attempt) { core.recordRunEnd(now, work, id, RunEnd.COMPLETE) } }
+        } else {
+            core.recordRunEnd(now, work, id, RunEnd.TURNED_AWAY)
+            place(attempt.copy(tried = attempt.tried + id, sends = attempt.sends + 1))
+        }
+    }
+
+    // Runs [action] unless the process of the request has ended; a frozen process runs it when it continues.
+    private fun whenRunning(attempt: Attempt, action: () -> Unit) {
+        val node = attempt.node
+        when {
+            node.core !== attempt.core || node.state == State.DEAD -> Unit
+            node.state == State.FROZEN -> at(TICK_MILLIS) { whenRunning(attempt, action) }
+            else -> action()
+        }
+    }
+
+    private fun excuse(node: Node, millis: Long) {
+        node.excused += now..now + millis * 1_000_000 + CONTACT_NANOS
+    }
+
+    private fun at(millis: Long, action: () -> Unit) {
+        events += (now + millis * 1_000_000) to action
+    }
+
+    private fun introduce(node: Node) {
+        node.core.configure(now, config)
+        node.core.replaceDaemons(nodes.filter { it.state != State.DEAD }.map { it.registered })
+        node.core.replaceEndpoints(now, replicas.map { it.record }, afterGap = false)
+    }
+
+    private fun announceDaemons() {
+        val registered = nodes.filter { it.state != State.DEAD }.map { it.registered }
+        nodes.forEach { it.core.replaceDaemons(registered) }
+    }
+
+    private fun core(daemon: RegisteredDaemon): ServingCore {
+        val orders = object : OrderPort {
+            override fun order(order: EndpointOrder, onEnd: (OrderEnd) -> Unit) =
+                engines.getValue(order.endpoint).order(order, onEnd)
+
+            override fun report(endpoint: EndpointId, address: String, onEnd: (EndpointReport?) -> Unit) =
+                engines.getValue(endpoint).report(endpoint, address, onEnd)
+        }
+        val ports = ServingPorts(rights, orders, { to, message -> deliver(daemon, to, message) }, {}, { _, _ -> })
+        val options = ServingOptions(daemon.member, daemon.dataCentre, seed = random.nextLong())
+        return ServingCore(options, daemon.machine, clock, ports)
+    }
+
+    private fun deliver(from: RegisteredDaemon, to: RegisteredDaemon, message: ServingMessage) {
+        if (!connects(from.dataCentre.name, to.dataCentre.name) || random.nextDouble() < lossRate) return
+        val node = nodes.first { it.name == to.member.instance.name }
+        queue += Delivery(node, node.core, from.member, message)
+    }
+
+    private fun zoneName(zone: Int) = "zone-$zone"
+
+    private companion object {
+        const val DATA_CENTRES = 3
+        const val TICK_MILLIS = 10L
+        const val ANSWER_MILLIS = 90L
+        const val RUN_MILLIS = 200L
+        const val SILENCE_MILLIS = 1_000L
+        const val REMOVAL_MILLIS = 300L
+        const val NEVER_MILLIS = 1_000_000L
+
+        // The platform's rule LIMIT.
+        const val WINDOW_NANOS = 4_000_000_000L
+        const val RULE_FACTOR = 1.5
+        const val RULE_SLACK = 5
+        const val CONTACT_NANOS = 3_000_000_000L
+        const val TOLD_NANOS = 500_000_000L
+    }
+}
