Grant requests at an endpoint's announced limit from one daemon

Cause: nothing used the announcement. It is a fact that one daemon learns from an answer and that binds the whole fleet, and no mechanism existed for such a fact: an endpoint's leaving and its pauses are kept by the daemon that received them, which suffices for their rules but not for a sum over daemons. Ruled out by the tests: an even part for each daemon (one request each is 95 in a fleet of 95) and counting together (each may send one within a notice).

Change: observations of limits are exchanged in notices and digests, the newest counts. One daemon grants permits to send: the first live one by rank, in the endpoint's data centre, and only while it sees itself as the first, at the part of the rate that its reachable daemons are of all. Every send asks for one, also of plain services, requests that are sent again and resumed streams, since Forwarding now asks the core before each. Without a permit the request goes to another endpoint, or is refused at once with the time of the next expected permit; an endpoint at its limit is not asked for until then.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
@@ -28,7 +28,7 @@
         boundMillis: Double,
     ): Choice? {
         val version = registry.announcedVersion(work.base, work.adapter)
-        val usable = registry.usable(work.service, excluded).filterNot { it.isPaused(now) }
+        val usable = registry.usable(work.service, excluded).filterNot { it.isPaused(now) || it.isAtLimit(now) }
         val reachable = usable.filterNot { it.isBackingOff(now) }.ifEmpty { usable }
         val ranked = if (work.adapter == null) reachable else Rendezvous.order(work.adapter, reachable) { it.id.name }
         val choices =
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
@@ -47,6 +47,12 @@
     /** Rate limit that the endpoint announces in its answers. */
     val announcedLimit = AnnouncedLimit()
 
+    /** No permit is expected at the announced limit before this time. */
+    var atLimitUntilNanos = Long.MIN_VALUE / 2
+
+    /** When the next caller that is refused because of the announced limit may return. */
+    var callersReturnNanos = Long.MIN_VALUE / 2
+
     var coldUntilNanos = 0L
     private val peerLoads = HashMap<String, PeerLoad>()
     private val coldSends = ArrayDeque<Long>()
@@ -134,6 +140,13 @@
 
     fun isPaused(now: Long): Boolean = now < pausedUntilNanos
 
+    /** Returns until when the endpoint's pause or its announced limit holds requests back; past if neither does. */
+    fun unavailableUntilNanos(now: Long): Long =
+        if (isAtLimit(now)) maxOf(pausedUntilNanos, atLimitUntilNanos) else pausedUntilNanos
+
+    /** Returns whether the endpoint announces a rate limit and no permit is expected yet. */
+    fun isAtLimit(now: Long): Boolean = announcedLimit.perSecond != null && now < atLimitUntilNanos
+
     /** Returns whether this daemon may send one more request within [perSecond] if the endpoint is cold. */
     fun hasColdRoom(now: Long, perSecond: Double): Boolean =
         now >= coldUntilNanos || coldSends.countRecent(now) + 1 <= perSecond
--- a/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
@@ -9,11 +9,12 @@
     private val context: ServingContext,
     private val meter: AccountMeter,
     private val ownership: EndpointOwnership,
+    private val limits: EndpointLimits,
 ) {
     private val peers = context.peers
     private val registry = context.registry
     private val options = context.options
-    private val relays = Relays(context, meter, ::buildNotice)
+    private val relays = Relays(context, meter, limits, ::buildNotice)
     private var sequence = 0L
     private var localSentNanos = Long.MIN_VALUE / 2
     private var remoteSentNanos = Long.MIN_VALUE / 2
@@ -37,6 +38,7 @@
             }
         }
         registry.applyNotice(now, from, notice)
+        limits.applyReports(now, notice.limits)
         if (peers.get(from.instance.name)?.dataCentre == options.dataCentre) relays.receiveReport(now, notice)
         ownership.reassert()
     }
@@ -63,7 +65,7 @@
     private fun sendToEach(now: Long, includeRemote: Boolean) {
         val targets = peers.others.filter { includeRemote || it.dataCentre == options.dataCentre }
         if (targets.isEmpty()) return
-        val notice = buildNotice(peers.directNoticeAgesMillis(now))
+        val notice = buildNotice(now, peers.directNoticeAgesMillis(now))
         for (daemon in targets) {
             val name = daemon.member.instance.name
             if (peers.isOutboundBroken(now, name)) context.ports.reconnect(daemon)
@@ -71,7 +73,7 @@
         }
     }
 
-    private fun buildNotice(noticeAgesMillis: Map<String, Long>) = ServingNotice(
+    private fun buildNotice(now: Long, noticeAgesMillis: Map<String, Long>) = ServingNotice(
         options.self,
         ++sequence,
         HashMap(meter.charged),
@@ -79,6 +81,7 @@
         ownership.ownedEndpoints(),
         noticeAgesMillis,
         relayed = emptyList(),
+        limits = limits.ownReports(now),
     )
 
     private fun ownLoads(): List<EndpointLoad> = registry.all.filter {
--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PermitBucket.kt
@@ -0,0 +1,44 @@
+package io.camphordrum.core.serving
+
+/**
+ * Grants the permits of one endpoint at the rate that the endpoint announces.
+ *
+ * The bucket starts empty, because a former granter may have granted permits until now. A refused asker gets the time
+ * of a permit that no other refused asker was told, so that they do not all ask for the next one.
+ */
+internal class PermitBucket(startedNanos: Long) {
+    private var permits = 0.0
+    private var refilledNanos = startedNanos
+    private var promisedNanos = startedNanos
+
+    /** When a permit was last asked for. */
+    val askedNanos: Long get() = refilledNanos
+
+    /** Takes a permit and returns 0, or returns the milliseconds until one is expected for this asker. */
+    fun tryAcquire(now: Long, perSecond: Double): Long {
+        val refill = maxOf(0, now - refilledNanos) / NANOS_PER_SECOND * perSecond
+        permits = minOf(permits + refill, 1 + BURST_SECONDS * perSecond)
+        refilledNanos = now
+        if (permits >= 1) {
+            permits--
+            return 0
+        }
+        val nextNanos = now + ((1 - permits) / perSecond * NANOS_PER_SECOND).toLong()
+        val waitNanos = maxOf(promisedNanos, nextNanos) - now
+        if (waitNanos <= MAX_WAIT_NANOS) {
+            promisedNanos = now + waitNanos + (NANOS_PER_SECOND / perSecond).toLong()
+        }
+        return waitNanos.coerceIn(MIN_WAIT_NANOS, MAX_WAIT_NANOS) / OrderRights.NANOS_PER_MILLI
+    }
+
+    private companion object {
+        const val NANOS_PER_SECOND = 1e9
+
+        // Unused permits of a quarter of a second are kept, since requests do not arrive evenly.
+        const val BURST_SECONDS = 0.25
+
+        // Askers return at least this often, so that a limit that has ended does not hold requests back for long.
+        const val MAX_WAIT_NANOS = 2_000_000_000L
+        const val MIN_WAIT_NANOS = 20_000_000L
+    }
+}
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
@@ -14,7 +14,8 @@
 internal class Relays(
     private val context: ServingContext,
     private val meter: AccountMeter,
-    private val buildNotice: (noticeAgesMillis: Map<String, Long>) -> ServingNotice,
+    private val limits: EndpointLimits,
+    private val buildNotice: (now: Long, noticeAgesMillis: Map<String, Long>) -> ServingNotice,
 ) {
     private class ReceivedReport(val notice: ServingNotice, val receivedNanos: Long)
 
@@ -78,7 +79,7 @@
         val noticeAgesMillis = mapOf(
             relay.member.instance.name to (now - contact.answeredNanos) / OrderRights.NANOS_PER_MILLI,
         )
-        val notice = buildNotice(noticeAgesMillis)
+        val notice = buildNotice(now, noticeAgesMillis)
         ownLoad = notice.load.associateBy { it.endpoint }
         reports[self.instance.name] = ReceivedReport(notice, now)
         ledger.record(self, notice.sequence, notice.charged)
@@ -123,6 +124,7 @@
         }
         val load = digest.load.associateBy { it.endpoint }
         registry.applyDigest(now, name, load, if (fromOwnRelay) ownLoad else emptyMap(), digest.owned)
+        limits.applyReports(now, digest.limits)
         if (fullDigestReceivedFrom[name] != digest.sender.incarnation) return
         for (charges in digest.charged) {
             meter.recordPeerCharges(now, charges.member, charges.sequence, charges.charged)
@@ -153,6 +155,7 @@
                 view.load,
                 changedOwned,
                 localCharges.next(),
+                limitsInReports(now) + remoteLimits(now),
             )
         val full by lazy {
             changes.copy(full = true, owned = publishedOwned.values.toList(), charged = localCharges.all())
@@ -218,6 +221,7 @@
                 load,
                 ownedInReports(),
                 remoteCharges.next(),
+                limitsInReports(now),
             )
         }
         val remoteDataCentres = peers.others.mapTo(HashSet()) { it.dataCentre } - dataCentre
@@ -237,6 +241,18 @@
     private fun ownedInReports(): List<OwnedBy> =
         reports.values.flatMap { report -> report.notice.owned.map { OwnedBy(report.notice.sender.instance.name, it) } }
 
+    private fun limitsInReports(now: Long): List<ReportedLimit> =
+        newestLimits(now, reports.values.map { it.receivedNanos to it.notice.limits })
+
+    private fun remoteLimits(now: Long): List<ReportedLimit> =
+        newestLimits(now, (digests.values + listOfNotNull(relayDigest)).map { it.receivedNanos to it.digest.limits })
+
+    /** Returns the newest limit of each endpoint, with ages at [now] instead of those at the time of receipt. */
+    private fun newestLimits(now: Long, received: List<Pair<Long, List<ReportedLimit>>>): List<ReportedLimit> =
+        received.flatMap { (receivedNanos, limits) ->
+            limits.map { it.copy(ageMillis = it.ageMillis + (now - receivedNanos) / OrderRights.NANOS_PER_MILLI) }
+        }.groupBy { it.endpoint }.map { (_, observed) -> observed.minBy { it.ageMillis } }
+
     private fun silentInDataCentre(now: Long): List<String> {
         val localDigests = digests.values.filter { it.dataCentre == dataCentre }
         return peers.inDataCentre(dataCentre).map { it.member.instance.name }.filter { name ->
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -49,7 +49,7 @@
 public class ServingCore(
     private val options: ServingOptions,
     machine: String,
-    clock: Clock,
+    private val clock: Clock,
     private val ports: ServingPorts,
 ) {
     private val random = Random(options.seed)
@@ -66,7 +66,9 @@
     private val turnScheduler: TurnScheduler = TurnScheduler(context) { ownership.owns(it) }
     private val selector = EndpointSelector(context) { ownership.loadMillis }
     private val meter = AccountMeter(options.self, startedNanos, options.limitSlackTokens)
-    private val noticeExchange = NoticeExchange(context, meter, ownership)
+    private val limits = EndpointLimits(context)
+    private val permits = PermitScheduler(context)
+    private val noticeExchange = NoticeExchange(context, meter, ownership, limits)
     private val retryBudgets = HashMap<String, RetryBudget>()
     private var lastTickNanos = startedNanos
 
@@ -191,16 +193,27 @@
         ownership.awaitAdapter(now, work, endpoint, onEnd)
 
     /**
-     * Requests the turn of [work] at [endpoint], that is the permission to send its prompt.
+     * Requests the permission to send [work] to [endpoint]: a turn at an engine, and a permit if the endpoint announces
+     * a rate limit.
      *
-     * [onEnd] receives whether the turn was granted. Calling the result cancels the wait.
+     * Must be called before each send, also of a request that is sent again. [onEnd] receives whether the permission
+     * was granted. Calling the result cancels the wait.
      */
     public fun awaitTurn(now: Long, work: Work, endpoint: EndpointId, onEnd: (Boolean) -> Unit): () -> Unit {
         // The prompt must still be read after the turn is granted.
         val readingMillis = work.promptTokens / context.speed(work.service).tokensPerMilli
         val turnMillis = work.route.targetMillis * MAX_WAIT_FACTOR - readingMillis
         val untilNanos = work.arrivedNanos + (turnMillis * OrderRights.NANOS_PER_MILLI).toLong()
-        return turnScheduler.awaitTurn(now, work, endpoint, minOf(untilNanos, work.deadlineNanos), onEnd)
+        var cancelPermit: (() -> Unit)? = null
+        val cancelTurn =
+            turnScheduler.awaitTurn(now, work, endpoint, minOf(untilNanos, work.deadlineNanos)) { granted ->
+                if (granted) {
+                    cancelPermit = permits.awaitPermit(clock.nanos(), work, endpoint, onEnd)
+                } else {
+                    onEnd(false)
+                }
+            }
+        return { (cancelPermit ?: cancelTurn)() }
     }
 
     /** Returns whether [work] may still be sent to [endpoint] and the endpoint holds its models. */
@@ -267,9 +280,7 @@
      *   announces no limit.
      */
     public fun recordAnnouncedLimit(now: Long, endpoint: EndpointId, sentNanos: Long, perSecond: Double?) {
-        val limit = registry.get(endpoint)?.announcedLimit ?: return
-        val changed = if (perSecond == null) limit.recordNoLimit(sentNanos) else limit.recordLimit(now, perSecond)
-        if (changed) ports.logEvent("endpoint_limit", mapOf("endpoint" to endpoint.name, "perSecond" to perSecond))
+        limits.recordAnswer(now, endpoint, sentNanos, perSecond)
     }
 
     /** Records how the run of [work] at [endpoint] ended. */
@@ -304,6 +315,8 @@
             is ServingMessage.TurnEnd -> turnScheduler.receiveTurnEnd(message)
             is ServingMessage.TurnDrop -> turnScheduler.receiveTurnDrop(message)
             is ServingMessage.RunBegun -> turnScheduler.receiveRunBegun(message)
+            is ServingMessage.PermitAsk -> permits.receiveAsk(now, from.instance.name, message)
+            is ServingMessage.PermitEnd -> permits.receiveEnd(now, from.instance.name, message)
         }
     }
 
@@ -313,6 +326,7 @@
         lastTickNanos = now
         registry.expire(now).forEach(::onEndpointRemoved)
         turnScheduler.tick(now)
+        permits.tick(now)
         ownership.tick(now)
         noticeExchange.tick(now)
     }
@@ -336,9 +350,14 @@
         noLoad: Set<EndpointId>,
     ): Placement {
         val usable = registry.usable(work.service, tried)
-        val pauseNanos = registry.usable(work.service, emptySet()).minOfOrNull { it.pausedUntilNanos - now } ?: 0
-        if (pauseNanos > 0) {
-            return Placement.Refuse(RefuseReason.BUSY, retryMillis(pauseNanos / OrderRights.NANOS_PER_MILLI + 1))
+        val first = registry.usable(work.service, emptySet()).minByOrNull { it.unavailableUntilNanos(now) }
+        if (first != null && first.unavailableUntilNanos(now) > now) {
+            val waitMillis = if (first.isAtLimit(now)) {
+                permits.retryMillis(now, first)
+            } else {
+                (first.pausedUntilNanos - now) / OrderRights.NANOS_PER_MILLI + 1
+            }
+            return Placement.Refuse(RefuseReason.BUSY, retryMillis(waitMillis))
         }
         val anyUsable = usable.isNotEmpty()
         val reason = if (anyUsable &&
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -65,6 +65,30 @@
         @SerialName("n") public val newTokens: Int,
     ) : ServingMessage
 
+    /** Requests a permit at [endpoint], which announced a limit of [perSecond], from the daemon that grants them. */
+    @Serializable
+    @SerialName("p")
+    public data class PermitAsk(
+        @SerialName("e") public val endpoint: String,
+        @SerialName("i") public val id: String,
+        @SerialName("l") public val perSecond: Double,
+    ) : ServingMessage
+
+    /**
+     * Answers a [PermitAsk].
+     *
+     * @property reason null if the permit is granted, or else the reason why not.
+     * @property waitMillis when a permit is refused, the time after which to ask again.
+     */
+    @Serializable
+    @SerialName("q")
+    public data class PermitEnd(
+        @SerialName("e") public val endpoint: String,
+        @SerialName("i") public val id: String,
+        @SerialName("r") public val reason: String?,
+        @SerialName("w") public val waitMillis: Long,
+    ) : ServingMessage
+
     /** Withdraws a [TurnAsk] whose caller has disconnected. */
     @Serializable
     @SerialName("d")
@@ -81,6 +105,7 @@
  * @property owned endpoints that the sender owns, and what they hold.
  * @property noticeAgesMillis age of the newest notice that the sender has received from each daemon.
  * @property relayed charges of other daemons, so that daemons that cannot reach each other still share limits.
+ * @property limits rate limits of endpoints that the sender has observed in answers.
  */
 @Serializable
 @SerialName("n")
@@ -92,6 +117,7 @@
     @SerialName("o") public val owned: List<OwnedEndpoint>,
     @SerialName("h") public val noticeAgesMillis: Map<String, Long>,
     @SerialName("r") public val relayed: List<RelayedCharges>,
+    @SerialName("m") public val limits: List<ReportedLimit> = emptyList(),
 ) : ServingMessage
 
 /**
@@ -130,6 +156,22 @@
     @SerialName("s") public val slowness: Double = 1.0,
 )
 
+/**
+ * Describes the rate limit that a daemon observed in an answer of an endpoint.
+ *
+ * @property startedEpochMillis start of the endpoint that announced the limit.
+ * @property perSecond requests a second that the endpoint accepts from all daemons together; null if it has ceased to
+ *   announce a limit.
+ * @property ageMillis time since the observation.
+ */
+@Serializable
+public data class ReportedLimit(
+    @SerialName("e") public val endpoint: String,
+    @SerialName("b") public val startedEpochMillis: Long,
+    @SerialName("l") public val perSecond: Double?,
+    @SerialName("a") public val ageMillis: Long,
+)
+
 /** Forwards the total tokens that [member] had charged when it sent its notice [sequence], [ageMillis] ago. */
 @Serializable
 public data class RelayedCharges(
--- a/core/src/test/kotlin/io/camphordrum/core/serving/AnnouncedLimitFleetTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/AnnouncedLimitFleetTest.kt
@@ -121,6 +121,32 @@
         ) =
             play(size, plain, limit) { names(0).forEach { freeze(it, 3_500) } }
 
+        // The two data centres may each grant permits of one endpoint.
+        @ParameterizedTest
+        @CsvSource("7, false, 1.8", "7, true, 0.4", "95, true, 6", "95, false, 1")
+        fun `two data centres that do not reach each other keep to the limit`(
+            size: Int,
+            plain: Boolean,
+            limit: Double,
+        ) =
+            play(size, plain, limit) { cutBetween(0, 1, 9_000) }
+
+        // Guards against limits that are exceeded only by overlapping faults. The seeds can be set for a longer run.
+        @ParameterizedTest
+        @CsvSource("7, false, 1.8", "7, true, 0.4", "7, false, 8", "95, true, 1")
+        fun `the limit holds under overlapping faults`(size: Int, plain: Boolean, limit: Double) {
+            val seeds = Integer.getInteger("limitSeeds", if (size > 16) 1 else 3)
+            for (seed in 1..seeds) {
+                val fleet = fleet(size, plain, listOf(limit, limit, null), seed)
+                repeat(10) {
+                    fleet.startRandomFault()
+                    fleet.run(2_000)
+                }
+                fleet.run(6_000)
+                assertEquals(emptyList(), fleet.violations(), "seed $seed")
+            }
+        }
+
         @ParameterizedTest
         @CsvSource("7, false, 6", "95, false, 1")
         fun `the limit holds while the store is away`(size: Int, plain: Boolean, limit: Double) =
--- a/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
@@ -138,6 +138,23 @@
         at(millis) { node.state = State.RUNNING }
     }
 
+    /** Starts one of the faults at random, which may overlap with those before. */
+    fun startRandomFault() {
+        val name = nodes.random(random).name
+        when (random.nextInt(5)) {
+            0 -> if (isRunning(name)) kill(name, downMillis = 600L + random.nextInt(2_000))
+            1 -> if (isRunning(name)) freeze(name, 300L + random.nextInt(4_000))
+            2 -> cut(random.nextInt(DATA_CENTRES), 500L + random.nextInt(5_000))
+            3 -> stopStore(1_000L + random.nextInt(6_000))
+            else -> {
+                lossRate = 0.3
+                at(2_000) { lossRate = 0.0 }
+            }
+        }
+    }
+
+    private fun isRunning(name: String) = nodes.first { it.name == name }.state == State.RUNNING
+
     /** Separates the data centre [zone] from the others. */
     fun cut(zone: Int, millis: Long) {
         val name = zoneName(zone)
@@ -146,6 +163,13 @@
         at(millis) { connects = { _, _ -> true } }
     }
 
+    /** Separates the data centres [one] and [other], which both still reach the third; no daemon is excused. */
+    fun cutBetween(one: Int, other: Int, millis: Long) {
+        val names = setOf(zoneName(one), zoneName(other))
+        connects = { a, b -> a == b || setOf(a, b) != names }
+        at(millis) { connects = { _, _ -> true } }
+    }
+
     fun stopStore(millis: Long) {
         rights.available = false
         at(millis) { rights.available = true }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -71,10 +71,6 @@
     }
 
     private fun awaitTurn(placement: Placement.Send) {
-        if (work.base == null) {
-            send(placement)
-            return
-        }
         if (++turnRequests > MAX_TURN_REQUESTS) {
             refuse(RefuseReason.BUSY, RETRY_MILLIS)
             return
