Grant requests at cold plain endpoints from one daemon too

Cause: the same as for announced limits, a bound on all daemons that each keeps by its own count. With fewer requests than daemons, the first live ones by rank may send one each; a restart moves these places to daemons that have sent nothing yet, and the restarted one has forgotten what it sent.

An endpoint that could not be reached no longer counts as a turn, so that a plain request may try as many endpoints as before.

Refused askers return after 50 ms at least, instead of 20 ms, which bounds the permit_denied lines.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
@@ -117,14 +117,19 @@
     /**
      * Returns the requests that this daemon may send to the cold endpoint [state] in a second.
      *
-     * While the owner is reachable, its turns bound the requests. Otherwise the part of the bound that is not reserved
-     * for the owner is divided with [PeerTable.evenShare].
+     * While the owner of an engine is reachable, its turns bound the requests. Otherwise the part of the bound that is
+     * not reserved for the owner is divided with [PeerTable.evenShare]. Plain services need permits instead.
      */
     fun coldSendsPerSecond(now: Long, state: EndpointState, service: ServedService): Double {
-        if (service.coldRequestsPerSecond <= 0) return Double.MAX_VALUE
-        if (service.engine != null && ownerReachable(now, state)) return Double.MAX_VALUE
-        val part = if (service.engine == null) PLAIN_COLD_PART else OWNERLESS_COLD_PART
-        return peers.evenShare(now, state.id.name, part * coldBound(service))
+        if (service.coldRequestsPerSecond <= 0 || service.engine == null) return Double.MAX_VALUE
+        if (ownerReachable(now, state)) return Double.MAX_VALUE
+        return peers.evenShare(now, state.id.name, OWNERLESS_COLD_PART * coldBound(service))
+    }
+
+    /** Returns the permits a second at the cold endpoint [state] of a plain service; null if none are needed. */
+    fun coldPermitsPerSecond(now: Long, state: EndpointState, service: ServedService): Double? {
+        if (service.coldRequestsPerSecond <= 0 || service.engine != null || now >= state.coldUntilNanos) return null
+        return PermitBucket.rateFor(PLAIN_COLD_PART * coldBound(service))
     }
 
     private fun coldBound(service: ServedService): Double =
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
@@ -47,10 +47,10 @@
     /** Rate limit that the endpoint announces in its answers. */
     val announcedLimit = AnnouncedLimit()
 
-    /** No permit is expected at the announced limit before this time. */
+    /** No permit is expected before this time. */
     var atLimitUntilNanos = Long.MIN_VALUE / 2
 
-    /** When the next caller that is refused because of the announced limit may return. */
+    /** When the next caller that is refused because no permit is expected may return. */
     var callersReturnNanos = Long.MIN_VALUE / 2
 
     var coldUntilNanos = 0L
@@ -140,12 +140,13 @@
 
     fun isPaused(now: Long): Boolean = now < pausedUntilNanos
 
-    /** Returns until when the endpoint's pause or its announced limit holds requests back; past if neither does. */
+    /** Returns until when the endpoint's pause or a missing permit holds requests back; in the past if neither does. */
     fun unavailableUntilNanos(now: Long): Long =
         if (isAtLimit(now)) maxOf(pausedUntilNanos, atLimitUntilNanos) else pausedUntilNanos
 
-    /** Returns whether the endpoint announces a rate limit and no permit is expected yet. */
-    fun isAtLimit(now: Long): Boolean = announcedLimit.perSecond != null && now < atLimitUntilNanos
+    /** Returns whether the endpoint is cold or announces a rate limit, and no permit is expected yet. */
+    fun isAtLimit(now: Long): Boolean =
+        now < atLimitUntilNanos && (announcedLimit.perSecond != null || now < coldUntilNanos)
 
     /** Returns whether this daemon may send one more request within [perSecond] if the endpoint is cold. */
     fun hasColdRoom(now: Long, perSecond: Double): Boolean =
--- a/core/src/main/kotlin/io/camphordrum/core/serving/PermitBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PermitBucket.kt
@@ -1,7 +1,7 @@
 package io.camphordrum.core.serving
 
 /**
- * Grants the permits of one endpoint at the rate that the endpoint announces.
+ * Grants the permits of one endpoint at a given rate.
  *
  * The bucket starts empty, because a former granter may have granted permits until now. A refused asker gets the time
  * of a permit that no other refused asker was told, so that they do not all ask for the next one.
@@ -31,14 +31,17 @@
         return waitNanos.coerceIn(MIN_WAIT_NANOS, MAX_WAIT_NANOS) / OrderRights.NANOS_PER_MILLI
     }
 
-    private companion object {
-        const val NANOS_PER_SECOND = 1e9
+    companion object {
+        /** Returns the rate at which a bucket grants at most [bound] permits in any second. */
+        fun rateFor(bound: Double): Double = maxOf(0.0, bound - 1) / (1 + BURST_SECONDS)
+
+        private const val NANOS_PER_SECOND = 1e9
 
         // Unused permits of a quarter of a second are kept, since requests do not arrive evenly.
-        const val BURST_SECONDS = 0.25
+        private const val BURST_SECONDS = 0.25
 
         // Askers return at least this often, so that a limit that has ended does not hold requests back for long.
-        const val MAX_WAIT_NANOS = 2_000_000_000L
-        const val MIN_WAIT_NANOS = 20_000_000L
+        private const val MAX_WAIT_NANOS = 2_000_000_000L
+        private const val MIN_WAIT_NANOS = 50_000_000L
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/PermitScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PermitScheduler.kt
@@ -4,7 +4,8 @@
 import io.camphordrum.core.Rendezvous
 
 /**
- * Keeps the requests of all daemons to an endpoint within the rate limit that the endpoint announces.
+ * Keeps the requests of all daemons together within the rate limit that an endpoint announces, and within the bound of
+ * a cold endpoint of a plain service.
  *
  * A permit is the permission to send one request to such an endpoint. One daemon grants the permits of an endpoint: the
  * first live one by rank, in the endpoint's data centre if any is live there. It grants none while it does not see
@@ -24,7 +25,7 @@
     /** Requests the permit of [work] at [endpoint]; calling the result cancels the wait. */
     fun awaitPermit(now: Long, work: Work, endpoint: EndpointId, onEnd: (Boolean) -> Unit): () -> Unit {
         val state = registry.get(endpoint)
-        val limit = state?.announcedLimit?.perSecond
+        val limit = state?.let { limit(now, it) }
         if (limit == null || state.isAtLimit(now)) {
             onEnd(limit == null)
             return {}
@@ -72,7 +73,7 @@
      * Each caller gets a later time than the one before, at this daemon's even part of the limit.
      */
     fun retryMillis(now: Long, state: EndpointState): Long {
-        val limit = maxOf(state.announcedLimit.perSecond ?: 0.0, MIN_PER_SECOND)
+        val limit = maxOf(limit(now, state) ?: 0.0, MIN_PER_SECOND)
         val retryNanos = maxOf(state.callersReturnNanos, state.atLimitUntilNanos)
         val gapNanos = (peers.knownCount / limit * NANOS_PER_SECOND).toLong()
         state.callersReturnNanos = minOf(retryNanos + gapNanos, now + MAX_RETURN_NANOS)
@@ -85,7 +86,7 @@
         val fields = mapOf(
             "id" to id,
             "endpoint" to endpoint.name,
-            "perSecond" to state.announcedLimit.perSecond,
+            "perSecond" to limit(now, state),
             "reason" to reason,
             "granter" to from,
             "waitMillis" to waitMillis,
@@ -100,9 +101,15 @@
             ?: context.self.name
     }
 
-    // The asker or this daemon may have received a newer announcement than the other, so the lower one counts.
+    private fun limit(now: Long, state: EndpointState): Double? {
+        val service = context.config?.services?.get(state.record.service)
+        val coldLimit = service?.let { registry.coldPermitsPerSecond(now, state, it) }
+        return listOfNotNull(state.announcedLimit.perSecond, coldLimit).minOrNull()
+    }
+
+    // The asker or this daemon may know of a newer limit than the other, so the lower one counts.
     private fun rate(now: Long, state: EndpointState, ask: ServingMessage.PermitAsk): Double {
-        val limit = minOf(ask.perSecond, state.announcedLimit.perSecond ?: ask.perSecond)
+        val limit = minOf(ask.perSecond, limit(now, state) ?: ask.perSecond)
         return maxOf(limit, MIN_PER_SECOND) * peers.reachableCount(now) / peers.knownCount
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -194,7 +194,7 @@
 
     /**
      * Requests the permission to send [work] to [endpoint]: a turn at an engine, and a permit if the endpoint announces
-     * a rate limit.
+     * a rate limit or is cold.
      *
      * Must be called before each send, also of a request that is sent again. [onEnd] receives whether the permission
      * was granted. Calling the result cancels the wait.
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -65,7 +65,7 @@
         @SerialName("n") public val newTokens: Int,
     ) : ServingMessage
 
-    /** Requests a permit at [endpoint], which announced a limit of [perSecond], from the daemon that grants them. */
+    /** Requests a permit at [endpoint], which is limited to [perSecond], from the daemon that grants them. */
     @Serializable
     @SerialName("p")
     public data class PermitAsk(
--- a/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
@@ -25,6 +25,9 @@
         /** When each daemon first passed on an answer that announces the limit. */
         val toldNanos = HashMap<String, Long>()
 
+        /** When it last became cold and for how long; it has never been if empty. */
+        var coldNanos = LongRange.EMPTY
+
         /** Whether it turns one in four requests away without running them. */
         var turnsAway = false
     }
@@ -76,6 +79,7 @@
     }
     private val config = fixture.config(
         routes = listOf(fixture.drafts.copy(repetition = Repetition.ALLOWED), fixture.records),
+        deskColdPerSecond = 13.0,
     )
     private var requests = 0
 
@@ -112,6 +116,18 @@
         replica.toldNanos.clear()
     }
 
+    /** Makes [replica] cold for [millis]; all daemons learn it at once from its registration. */
+    fun chill(replica: Replica, millis: Long) {
+        replica.coldNanos = now..now + millis * 1_000_000
+        nodes.forEach { it.core.putEndpoint(now, registration(replica)) }
+    }
+
+    /** Returns the most requests that [replica] received in a second while it was cold. */
+    fun mostInColdSecond(replica: Replica): Int {
+        val times = replica.arrivals.map { it.nanos }.filter { it in replica.coldNanos }
+        return times.maxOfOrNull { start -> times.count { it - start in 0 until NANOS_PER_SECOND } } ?: 0
+    }
+
     /** Kills a daemon, and starts it again after [downMillis]; null means never. */
     fun kill(name: String, downMillis: Long?) {
         val node = nodes.first { it.name == name }
@@ -313,7 +329,12 @@
     private fun introduce(node: Node) {
         node.core.configure(now, config)
         node.core.replaceDaemons(nodes.filter { it.state != State.DEAD }.map { it.registered })
-        node.core.replaceEndpoints(now, replicas.map { it.record }, afterGap = false)
+        node.core.replaceEndpoints(now, replicas.map(::registration), afterGap = false)
+    }
+
+    private fun registration(replica: Replica): EndpointRecord {
+        val coldMillis = maxOf(0, replica.coldNanos.last - now) / 1_000_000
+        return replica.record.copy(coldMillis = if (now in replica.coldNanos) coldMillis else 0)
     }
 
     private fun announceDaemons() {
@@ -350,6 +371,7 @@
         const val SILENCE_MILLIS = 1_000L
         const val REMOVAL_MILLIS = 300L
         const val NEVER_MILLIS = 1_000_000L
+        const val NANOS_PER_SECOND = 1_000_000_000L
 
         // The platform's rule LIMIT.
         const val WINDOW_NANOS = 4_000_000_000L
--- a/core/src/test/kotlin/io/camphordrum/core/serving/ServingFixture.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/ServingFixture.kt
@@ -150,6 +150,7 @@
         routes: List<ServingRoute> = listOf(drafts, records),
         loadsPerSecond: Double = 0.0,
         connectionLimit: Int = 360,
+        deskColdPerSecond: Double = 0.0,
     ) = ServingConfig(
         version,
         routes,
@@ -160,7 +161,7 @@
                 13.0,
                 EngineLimits(64, 3, listOf(BaseModel("m", 1_900)), loadsPerSecond),
             ),
-            ServedService("desk", 100, 0.0),
+            ServedService("desk", 100, deskColdPerSecond),
         ),
         accounts,
         CallerLimits(16_384, 1 shl 20, 3_000, 15_000),
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -226,6 +226,7 @@
             if (closed) return
             recordEnd(RunEnd.SILENT)
             sends--
+            turnRequests--
             retryOrFail(endpoint, mayHaveRun = false, "unreachable: $reason")
         }
 
