--- a/core/src/test/kotlin/io/camphordrum/core/serving/AnnouncedLimitFleetTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/AnnouncedLimitFleetTest.kt
@@ -131,6 +131,12 @@
         ) =
             play(size, plain, limit) { cutBetween(0, 1, 9_000) }
 
+        // The granter hears daemons that do not hear it, and they choose another one.
+        @ParameterizedTest
+        @CsvSource("7, false, 6", "7, true, 1", "95, true, 1.8", "95, false, 0.4")
+        fun `the limit holds while messages pass in one direction only`(size: Int, plain: Boolean, limit: Double) =
+            play(size, plain, limit) { muteOneWay(0, 1, 9_000) }
+
         // Guards against limits that are exceeded only by overlapping faults. The seeds can be set for a longer run.
         @ParameterizedTest
         @CsvSource("7, false, 1.8", "7, true, 0.4", "7, false, 8", "95, true, 1")
--- a/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
@@ -86,6 +86,9 @@
     /** Whether messages and requests pass between two data centres. */
     var connects: (String, String) -> Boolean = { _, _ -> true }
 
+    // Whether messages from one data centre to another are lost although requests pass.
+    private var isMuted: (from: String, to: String) -> Boolean = { _, _ -> false }
+
     /** Part of the messages between daemons that are lost. */
     var lossRate = 0.0
 
@@ -186,6 +189,12 @@
         at(millis) { connects = { _, _ -> true } }
     }
 
+    /** Loses all messages from daemons of [from] to those of [to], but not in the other direction. */
+    fun muteOneWay(from: Int, to: Int, millis: Long) {
+        isMuted = { sender, receiver -> sender == zoneName(from) && receiver == zoneName(to) }
+        at(millis) { isMuted = { _, _ -> false } }
+    }
+
     fun stopStore(millis: Long) {
         rights.available = false
         at(millis) { rights.available = true }
@@ -357,6 +366,7 @@
 
     private fun deliver(from: RegisteredDaemon, to: RegisteredDaemon, message: ServingMessage) {
         if (!connects(from.dataCentre.name, to.dataCentre.name) || random.nextDouble() < lossRate) return
+        if (isMuted(from.dataCentre.name, to.dataCentre.name)) return
         val node = nodes.first { it.name == to.member.instance.name }
         queue += Delivery(node, node.core, from.member, message)
     }
