--- a/core/src/test/kotlin/io/camphordrum/core/serving/AnnouncedLimitFleetTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/AnnouncedLimitFleetTest.kt
@@ -61,6 +61,29 @@
             assertTrue(fleet.refusals.min() > 0, "a refusal without a time")
         }
 
+        // Guards against unused permits while callers are refused, and against retry times that are not true.
+        @ParameterizedTest
+        @CsvSource("7, false, 3", "7, true, 3", "95, false, 6", "95, true, 6")
+        fun `below the limit few callers are refused, and most that return are served`(
+            size: Int,
+            plain: Boolean,
+            limit: Double,
+        ) {
+            val fleet = fleet(size, plain, listOf(limit, limit, limit))
+            fleet.demandPerSecond = limit * 3 * 0.9
+            fleet.run(3_000)
+            fleet.refusals.clear()
+            fleet.callersReturn = true
+            fleet.run(20_000)
+            val requests = fleet.demandPerSecond * 20 + fleet.returned
+            assertTrue(fleet.refusals.size <= requests / 3, "${fleet.refusals.size} of $requests requests refused")
+            assertTrue(
+                fleet.refusedAgain <= fleet.returned / 2,
+                "${fleet.refusedAgain} of ${fleet.returned} refused again",
+            )
+            fleet.assertWithinLimits()
+        }
+
         // Guards against a limit that stays in force after the endpoint has recovered.
         @ParameterizedTest
         @CsvSource("7, false", "7, true", "95, false", "95, true")
--- a/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
@@ -47,6 +47,7 @@
         val work: Work,
         val tried: Set<EndpointId> = emptySet(),
         val sends: Int = 0,
+        val returns: Boolean = false,
     ) {
         fun without(endpoint: EndpointId) = copy(tried = tried + endpoint)
     }
@@ -99,6 +100,15 @@
     var served = 0
         private set
 
+    /** Whether refused callers return once, after the time that they were told. */
+    var callersReturn = false
+
+    /** Requests of callers that returned, and how many of them were refused again. */
+    var returned = 0
+        private set
+    var refusedAgain = 0
+        private set
+
     /** Retry times of the refused requests, in milliseconds. */
     val refusals = ArrayList<Long>()
 
@@ -255,12 +265,13 @@
     fun arrivalsIn(replica: Replica, millis: Long): Int =
         replica.arrivals.count { now - it.nanos <= millis * 1_000_000 }
 
-    private fun request(node: Node) {
+    private fun request(node: Node, returns: Boolean = false) {
         requests++
+        if (returns) returned++
         val route = if (plain) fixture.records else fixture.drafts
         val work = fixture.work("r$requests", if (plain) null else "x", route, tokens = 50)
         node.core.recordRequest(now, work.service)
-        place(Attempt(node, node.core, work))
+        place(Attempt(node, node.core, work, returns = returns))
     }
 
     private fun place(attempt: Attempt): Unit = whenRunning(attempt) {
@@ -269,20 +280,23 @@
             is Placement.Send -> core.awaitTurn(now, attempt.work, placement.endpoint) { granted ->
                 if (granted) send(attempt, placement) else at(0) { place(attempt.without(placement.endpoint)) }
             }
-            is Placement.AwaitAdapter -> refuse(attempt.work, 0)
-            is Placement.Refuse -> refuse(attempt.work, placement.retryMillis)
+            is Placement.AwaitAdapter -> refuse(attempt, 0)
+            is Placement.Refuse -> refuse(attempt, placement.retryMillis)
         }
     }
 
-    private fun refuse(work: Work, retryMillis: Long) {
+    private fun refuse(attempt: Attempt, retryMillis: Long) {
         refusals += retryMillis
-        decisionMillis += (now - work.arrivedNanos) / 1_000_000
+        decisionMillis += (now - attempt.work.arrivedNanos) / 1_000_000
+        if (attempt.returns) refusedAgain++
+        if (!callersReturn || attempt.returns) return
+        at(retryMillis) { request(nodes.filter { it.state == State.RUNNING }.random(random), returns = true) }
     }
 
     private fun send(attempt: Attempt, to: Placement.Send) {
         val core = attempt.core
         val work = attempt.work
-        if (attempt.sends > 0 && !core.tryAcquireRetry(now, work.service)) return refuse(work, 0)
+        if (attempt.sends > 0 && !core.tryAcquireRetry(now, work.service)) return refuse(attempt, 0)
         if (attempt.sends == 0) decisionMillis += (now - work.arrivedNanos) / 1_000_000
         val sentNanos = now
         val replica = replicas.first { it.record.id == to.endpoint }
