--- a/core/src/test/kotlin/io/camphordrum/core/serving/ColdEndpointFleetTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/ColdEndpointFleetTest.kt
@@ -17,7 +17,7 @@
             fleet.run(1_500)
             fleet.fault()
             fleet.run(8_000)
-            val most = fleet.mostInColdSecond(cold)
+            val most = cold.mostInColdSecond()
             assertTrue(most <= BOUND, "seed $seed: $most requests in a second at a cold endpoint, allowed $BOUND")
         }
     }
--- a/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
@@ -13,25 +13,6 @@
  * passed on an announcement, and checks the platform's rule for announced limits with [violations].
  */
 internal class LimitedFleet(private val size: Int, private val plain: Boolean, seed: Int) {
-    /** A request that reached an endpoint. */
-    class Arrival(val nanos: Long, val daemon: String)
-
-    /** An endpoint that announces [limit] requests a second from [limitedFromNanos] on while it is not null. */
-    class Replica(val record: EndpointRecord) {
-        val arrivals = ArrayList<Arrival>()
-        var limit: Double? = null
-        var limitedFromNanos = 0L
-
-        /** When each daemon first passed on an answer that announces the limit. */
-        val toldNanos = HashMap<String, Long>()
-
-        /** When it last became cold and for how long; it has never been if empty. */
-        var coldNanos = LongRange.EMPTY
-
-        /** Whether it turns one in four requests away without running them. */
-        var turnsAway = false
-    }
-
     private class Node(var registered: RegisteredDaemon, var core: ServingCore) {
         var state = State.RUNNING
         val excused = ArrayList<LongRange>()
@@ -60,13 +41,13 @@
     private val rights = FakeRightStore()
     private val queue = ArrayDeque<Delivery>()
     private val events = java.util.PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
-    val replicas: List<Replica> = (0 until DATA_CENTRES).map { zone ->
+    val replicas: List<LimitedReplica> = (0 until DATA_CENTRES).map { zone ->
         val record = if (plain) {
             fixture.plainRecord("d-$zone", zoneName(zone)).copy(slots = 64)
         } else {
             fixture.engineRecord("i-$zone", zoneName(zone), adapters = listOf("x"))
         }
-        Replica(record)
+        LimitedReplica(record)
     }
     private val engines = replicas.associate {
         it.record.id to FakeEngine(clock).apply {
@@ -122,7 +103,7 @@
     val now get() = clock.nanos
 
     /** Makes [replica] announce [perSecond] from now on; null ends the announcements. */
-    fun announce(replica: Replica, perSecond: Double?) {
+    fun announce(replica: LimitedReplica, perSecond: Double?) {
         replica.limit = perSecond
         replica.limitedFromNanos = now
         replica.arrivals.clear()
@@ -130,17 +111,11 @@
     }
 
     /** Makes [replica] cold for [millis]; all daemons learn it at once from its registration. */
-    fun chill(replica: Replica, millis: Long) {
+    fun chill(replica: LimitedReplica, millis: Long) {
         replica.coldNanos = now..now + millis * 1_000_000
         nodes.forEach { it.core.putEndpoint(now, registration(replica)) }
     }
 
-    /** Returns the most requests that [replica] received in a second while it was cold. */
-    fun mostInColdSecond(replica: Replica): Int {
-        val times = replica.arrivals.map { it.nanos }.filter { it in replica.coldNanos }
-        return times.maxOfOrNull { start -> times.count { it - start in 0 until NANOS_PER_SECOND } } ?: 0
-    }
-
     /** Kills a daemon, and starts it again after [downMillis]; null means never. */
     fun kill(name: String, downMillis: Long?) {
         val node = nodes.first { it.name == name }
@@ -235,34 +210,16 @@
     /**
      * Returns the windows in which an endpoint received more requests than its limit allows.
      *
-     * Counts the requests of daemons that had passed on an announcement half a second before or earlier, except for
-     * those that were killed, frozen or cut off within the contact time before.
+     * Leaves out daemons that were killed, frozen or cut off within the contact time before.
      */
-    fun violations(): List<String> = replicas.flatMap { replica ->
-        val limit = replica.limit ?: return@flatMap emptyList()
-        val allowed = limit * WINDOW_NANOS / 1e9 * RULE_FACTOR + RULE_SLACK
-        val first = replica.toldNanos.values.minOrNull() ?: return@flatMap emptyList()
-        val counted = replica.arrivals.filter { arrival ->
-            val told = replica.toldNanos[arrival.daemon] ?: return@filter false
-            val node = nodes.first { it.name == arrival.daemon }
-            arrival.nanos >= first + CONTACT_NANOS &&
-                arrival.nanos >= told + TOLD_NANOS &&
-                node.excused.none { arrival.nanos in it }
+    fun violations(): List<String> = replicas.mapNotNull { replica ->
+        replica.violation { arrival ->
+            nodes.first { it.name == arrival.daemon }.excused.any { arrival.nanos in it }
         }
-        val worst = counted.indices.maxByOrNull { countFrom(counted, it) } ?: return@flatMap emptyList()
-        val count = countFrom(counted, worst)
-        if (count <= allowed) return@flatMap emptyList()
-        val seconds = (counted[worst].nanos - replica.limitedFromNanos) / 1e9
-        listOf("${replica.record.id.name}: $count requests in 4 s from $seconds s on, allowed $allowed")
-    }
-
-    private fun countFrom(arrivals: List<Arrival>, index: Int): Int {
-        val start = arrivals[index].nanos
-        return arrivals.subList(index, arrivals.size).count { it.nanos - start < WINDOW_NANOS }
     }
 
     /** Returns the requests that [replica] received in the last [millis]. */
-    fun arrivalsIn(replica: Replica, millis: Long): Int =
+    fun arrivalsIn(replica: LimitedReplica, millis: Long): Int =
         replica.arrivals.count { now - it.nanos <= millis * 1_000_000 }
 
     private fun request(node: Node, returns: Boolean = false) {
@@ -306,7 +263,7 @@
             return
         }
         at(TICK_MILLIS) {
-            replica.arrivals += Arrival(now, attempt.node.name)
+            replica.arrivals += LimitedReplica.Arrival(now, attempt.node.name)
             val runs = !replica.turnsAway || random.nextInt(4) > 0
             at(if (runs) ANSWER_MILLIS else TICK_MILLIS) {
                 val limit = replica.limit
@@ -315,7 +272,7 @@
         }
     }
 
-    private fun answer(attempt: Attempt, replica: Replica, sentNanos: Long, limit: Double?, runs: Boolean) {
+    private fun answer(attempt: Attempt, replica: LimitedReplica, sentNanos: Long, limit: Double?, runs: Boolean) {
         val core = attempt.core
         val work = attempt.work
         val id = replica.record.id
@@ -342,7 +299,7 @@
     }
 
     private fun excuse(node: Node, millis: Long) {
-        node.excused += now..now + millis * 1_000_000 + CONTACT_NANOS
+        node.excused += now..now + millis * 1_000_000 + LimitedReplica.CONTACT_NANOS
     }
 
     private fun at(millis: Long, action: () -> Unit) {
@@ -355,7 +312,7 @@
         node.core.replaceEndpoints(now, replicas.map(::registration), afterGap = false)
     }
 
-    private fun registration(replica: Replica): EndpointRecord {
+    private fun registration(replica: LimitedReplica): EndpointRecord {
         val coldMillis = maxOf(0, replica.coldNanos.last - now) / 1_000_000
         return replica.record.copy(coldMillis = if (now in replica.coldNanos) coldMillis else 0)
     }
@@ -395,13 +352,5 @@
         const val SILENCE_MILLIS = 1_000L
         const val REMOVAL_MILLIS = 300L
         const val NEVER_MILLIS = 1_000_000L
-        const val NANOS_PER_SECOND = 1_000_000_000L
-
-        // The platform's rule LIMIT.
-        const val WINDOW_NANOS = 4_000_000_000L
-        const val RULE_FACTOR = 1.5
-        const val RULE_SLACK = 5
-        const val CONTACT_NANOS = 3_000_000_000L
-        const val TOLD_NANOS = 500_000_000L
     }
 }
