Log lost runs and crashed endpoints with the prompt parts of their requests

Callers saw streams cut off; the logs said neither that an endpoint had ended nor which requests it had just begun, so the hypotheses of the incident could not be told apart. A run that is cut off before or shortly after its answer has begun now probes its endpoint: a refused connection, or a registration that is removed or renewed, shows a crash. The probe's connection is kept for the next request.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -6,33 +6,6 @@
 import io.camphordrum.core.Member
 import kotlin.random.Random
 
-/** Connects the decisions with stores, endpoints and other daemons; callbacks run on the decision thread. */
-public class ServingPorts(
-    public val rights: RightStore,
-    public val orders: OrderPort,
-    public val send: (daemon: RegisteredDaemon, message: ServingMessage) -> Unit,
-    public val reconnect: (daemon: RegisteredDaemon) -> Unit,
-    public val logEvent: (event: String, fields: Map<String, Any?>) -> Unit,
-)
-
-/** Describes how the run of a request at an endpoint ended. */
-public enum class RunEnd {
-    /** The complete answer was passed on. */
-    COMPLETE,
-
-    /** The endpoint rejected the request without running it. */
-    TURNED_AWAY,
-
-    /** The endpoint failed the request, or its answer was cut off. */
-    FAILED,
-
-    /** The endpoint could not be reached or stopped answering. */
-    SILENT,
-
-    /** The caller disconnected, or the deadline of the request passed. */
-    CANCELLED,
-}
-
 /**
  * Decides where requests are sent, which are refused, how much accounts may use and which adapters endpoints hold.
  *
@@ -68,6 +41,7 @@
     private val meter = AccountMeter(options.self, startedNanos, options.limitSlackTokens)
     private val limits = EndpointLimits(context)
     private val permits = PermitScheduler(context)
+    private val crashes = CrashDetector(context) { _, crash -> logCrash(crash) }
     private val noticeExchange = NoticeExchange(context, meter, ownership, limits)
     private val retryBudgets = HashMap<String, RetryBudget>()
     private var lastTickNanos = startedNanos
@@ -297,6 +271,14 @@
         }
     }
 
+    /**
+     * Records that the run of [work] at [endpoint] was cut off by the endpoint; must be called before [recordRunEnd].
+     *
+     * @param begunNanos when the first part of its answer arrived; null if none did.
+     */
+    public fun recordLoss(now: Long, work: Work, endpoint: EndpointId, begunNanos: Long?): Unit =
+        crashes.recordLoss(now, work, endpoint, begunNanos)
+
     /** Records that [endpoint] answered that it does not hold the adapter of [work]. */
     public fun recordAdapterMissing(work: Work, endpoint: EndpointId) {
         val state = registry.get(endpoint) ?: return
@@ -327,6 +309,7 @@
         registry.expire(now).forEach(::onEndpointRemoved)
         turnScheduler.tick(now)
         permits.tick(now)
+        crashes.tick(now)
         ownership.tick(now)
         noticeExchange.tick(now)
     }
@@ -338,6 +321,13 @@
         noticeExchange.leave()
     }
 
+    private fun logCrash(crash: EndpointCrash) {
+        for (suspect in crash.suspects) {
+            val fields = mapOf("id" to suspect.id, "endpoint" to crash.endpoint, "parts" to suspect.parts)
+            ports.logEvent("crash_suspect", fields + mapOf("account" to suspect.account))
+        }
+    }
+
     private fun onEndpointRemoved(id: EndpointId) {
         ownership.remove(id)
         ports.logEvent("endpoint_gone", mapOf("endpoint" to id.name))
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Work.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Work.kt
@@ -8,6 +8,7 @@
  * @property adapter requested adapter of [base]; null for the base model itself.
  * @property promptTokens tokens that an engine reads before the first event.
  * @property newTokens prompt tokens unique to this request, so that no engine can have cached them; 0 if unknown.
+ * @property promptParts ids of the prompt's parts that other requests may share, in order.
  * @property deadlineNanos monotonic time by which the answer must be complete.
  */
 public data class Work(
@@ -23,4 +24,5 @@
     public val arrivedNanos: Long,
     public val deadlineNanos: Long,
     public val newTokens: Int = 0,
+    public val promptParts: List<String> = emptyList(),
 )
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -52,6 +52,12 @@
         ctx.writeAndFlush(request).addListener { if (it.isSuccess) requestWritten = true }
     }
 
+    /** Keeps the open connection for a later request. */
+    fun release() {
+        reusableUntilNanos = System.nanoTime() + settings.idleMillis * NANOS_PER_MILLI
+        onIdle(this)
+    }
+
     fun isUsable(now: Long): Boolean = context?.channel()?.isActive == true && now < reusableUntilNanos
 
     /** Closes the connection; [reset] resets it, so that bytes not yet acknowledged are not retransmitted. */
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -1,13 +1,16 @@
 package io.camphordrum.daemon.edge
 
+import io.camphordrum.core.serving.ProbeResult
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelInitializer
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpResponseDecoder
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -64,6 +67,48 @@
             idleConnection.start(send, request, headRequest)
             return send
         }
+        open(address) { connection, error ->
+            when {
+                connection == null -> {
+                    request.release()
+                    if (!send.cancelled) listener.onUnreachable(error?.message ?: "connect failed")
+                }
+                send.cancelled -> {
+                    request.release()
+                    connection.close()
+                }
+                !permitted() -> {
+                    request.release()
+                    connection.close()
+                    listener.onUnreachable("the request was no longer permitted once the connection was open")
+                }
+                else -> connection.start(send, request, headRequest)
+            }
+        }
+        return send
+    }
+
+    /** Closes the idle connections to [address]. */
+    fun closeIdle(address: String) {
+        idleByAddress.remove(address)?.forEach { it.close() }
+    }
+
+    /** Opens a connection to [address] and keeps it for the next request; [onEnd] receives whether it was accepted. */
+    fun probe(address: String, onEnd: (ProbeResult) -> Unit) {
+        open(address) { connection, error ->
+            connection?.release()
+            onEnd(
+                when {
+                    connection != null -> ProbeResult.ACCEPTED
+                    error is ConnectException && error !is ConnectTimeoutException -> ProbeResult.REFUSED
+                    else -> ProbeResult.NO_ANSWER
+                },
+            )
+        }
+    }
+
+    /** Opens a connection to [address]; [onEnd] receives it, or the reason why it could not be opened. */
+    private fun open(address: String, onEnd: (EndpointConnection?, Throwable?) -> Unit) {
         opened++
         val colon = address.lastIndexOf(':')
         val remote = InetSocketAddress(address.substring(0, colon), address.substring(colon + 1).toInt())
@@ -80,30 +125,7 @@
                 }
             })
             .connect(remote)
-            .addListener { future ->
-                when {
-                    !future.isSuccess -> {
-                        request.release()
-                        if (!send.cancelled) listener.onUnreachable(future.cause().message ?: "connect failed")
-                    }
-                    send.cancelled -> {
-                        request.release()
-                        connection.close()
-                    }
-                    !permitted() -> {
-                        request.release()
-                        connection.close()
-                        listener.onUnreachable("the request was no longer permitted once the connection was open")
-                    }
-                    else -> connection.start(send, request, headRequest)
-                }
-            }
-        return send
-    }
-
-    /** Closes the idle connections to [address]. */
-    fun closeIdle(address: String) {
-        idleByAddress.remove(address)?.forEach { it.close() }
+            .addListener { if (it.isSuccess) onEnd(connection, null) else onEnd(null, it.cause()) }
     }
 
     private fun decoder(connection: EndpointConnection) = object : HttpResponseDecoder(
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -83,6 +83,7 @@
             arrivedNanos = now,
             deadlineNanos = now + timeoutMillis * NANOS_PER_MILLI,
             newTokens = request.ownPromptPart?.let { (id, tokens) -> if (recentParts.add(id)) tokens else 0 } ?: 0,
+            promptParts = request.sharedPromptParts,
         )
         core.recordRequest(now, work.service)
         val retryMillis = core.charge(now, work)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -214,6 +214,7 @@
         private var classification: AnswerClassification? = null
         private var buffered: ByteBuf? = null
         private var unwantedBytes = 0
+        private var firstPartNanos: Long? = null
         private val endpoint get() = placement.endpoint
 
         fun cancel() {
@@ -225,6 +226,7 @@
         override fun onUnreachable(reason: String) {
             if (closed) return
             recordEnd(RunEnd.SILENT)
+            EdgeLog.write("unreachable", fields() + mapOf("why" to reason))
             sends--
             turnRequests--
             retryOrFail(endpoint, mayHaveRun = false, "unreachable: $reason")
@@ -266,6 +268,7 @@
                 if (!closed && unwantedBytes > MAX_UNWANTED_BYTES) cancelTurnedAway()
                 return
             }
+            if (firstPartNanos == null) firstPartNanos = now()
             if (work.route.streaming && first.status in SUCCESS) relay(first, part) else buffer(first, part)
         }
 
@@ -284,10 +287,19 @@
                 handleTurnedAway()
                 return
             }
+            EdgeLog.write("run_lost", fields() + lossFields(reason))
+            core.recordLoss(now(), work, endpoint, firstPartNanos)
             recordEnd(if (head == null) RunEnd.SILENT else RunEnd.FAILED)
             retryOrFail(endpoint, mayHaveRun = true, reason)
         }
 
+        private fun lossFields(reason: String): Map<String, Any?> = mapOf(
+            "why" to reason,
+            "parts" to work.promptParts,
+            "headReceived" to (head != null),
+            "sinceFirstPartMillis" to firstPartNanos?.let { (now() - it) / NANOS_PER_MILLI },
+        )
+
         // The head already states that the request has not run; the rest of an oversized body is not needed.
         private fun cancelTurnedAway() {
             send.cancel()
