Block prompts that crash endpoints

Cause: nothing related the end of an endpoint to the requests that it had just begun, each daemon saw one crash in seven, and repeats carried the part to the next endpoint. Class: a fact that is known only from the evidence of all daemons together.

Daemons now exchange crashes, with their suspects, and answers that got well under way. A part is blocked after a chain of three crashes whose requests were each sent after the crash before, with no sound answer in between; longer while endpoints also crash without it, and never on crashes that another suspect explains. What the requests had in common is blocked, for the only account that sent it until another one crashes endpoints too. Until then suspects run one at a time in the fleet. Blocks are stored, read before the first caller is served, and lifted by deleting them. Requests that wait when a block is decided are refused at once; 503 with a Retry-After of a minute, since they have not run. Forwarding is split: EndpointRun is one send.

Tests: PromptCrashEdgeTest and PromptCrashFleetTest (7 and 95 daemons; cut, restarts, store away, two bad parts, crashes for other reasons).

--- a/core/src/main/kotlin/io/camphordrum/core/serving/CrashDetector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/CrashDetector.kt
@@ -24,9 +24,10 @@
     /**
      * Records that the run of [work] at [endpoint] was cut off.
      *
+     * @param sentNanos when the request was sent.
      * @param begunNanos when the first part of its answer arrived; null if none did.
      */
-    fun recordLoss(now: Long, work: Work, endpoint: EndpointId, begunNanos: Long?) {
+    fun recordLoss(now: Long, work: Work, endpoint: EndpointId, sentNanos: Long, begunNanos: Long?) {
         if (work.promptParts.isEmpty() || (begunNanos != null && now - begunNanos > JUST_BEGUN_NANOS)) return
         val state = context.registry.get(endpoint) ?: return
         // An endpoint that leaves ends as planned, so its end says nothing about its requests.
@@ -35,7 +36,8 @@
             ?.takeIf { it.startedEpochMillis == state.record.startedEpochMillis && it.joins(now) }
         val loss = known ?: Loss(state.record.startedEpochMillis, now).also { losses[endpoint] = it }
         if (loss.suspects.size >= MAX_SUSPECTS) return
-        val suspect = SuspectRequest(work.id, work.account, work.promptParts)
+        val inFlightMillis = (loss.lostNanos - sentNanos) / OrderRights.NANOS_PER_MILLI
+        val suspect = SuspectRequest(work.id, work.account, inFlightMillis, work.promptParts)
         loss.suspects[work.id] = suspect
         if (loss.crashed) report(now, endpoint, loss, listOf(suspect))
         if (known == null) context.ports.probe.probe(state.record.address) { applyProbe(endpoint, loss, it) }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointCrash.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointCrash.kt
@@ -22,11 +22,13 @@
  * Describes a request that may have crashed an endpoint.
  *
  * @property id id of the caller's attempt.
+ * @property inFlightMillis time from sending the request until the crash.
  * @property parts ids of the parts of its prompt that other requests may share.
  */
 @Serializable
 public data class SuspectRequest(
     @SerialName("i") public val id: String,
     @SerialName("k") public val account: String?,
+    @SerialName("w") public val inFlightMillis: Long,
     @SerialName("p") public val parts: List<String>,
 )
--- a/core/src/main/kotlin/io/camphordrum/core/serving/FleetDigest.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/FleetDigest.kt
@@ -16,6 +16,7 @@
  * @property load requests in flight at endpoints, summed over daemons.
  * @property owned endpoints and their owners; the adapters of an unchanged endpoint are left out.
  * @property charged charges by daemon.
+ * @property prompts what the sender knows about prompts that may crash endpoints; null if nothing.
  * @property limits rate limits of endpoints that daemons have observed in answers; the newest of each endpoint.
  */
 @Serializable
@@ -30,6 +31,7 @@
     @SerialName("o") public val owned: List<OwnedBy>,
     @SerialName("c") public val charged: List<DaemonCharges>,
     @SerialName("m") public val limits: List<ReportedLimit> = emptyList(),
+    @SerialName("p") public val prompts: PromptReport? = null,
 ) : ServingMessage
 
 /** Pairs an endpoint with the daemon that owns it. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
@@ -1,5 +1,7 @@
 package io.camphordrum.core.serving
 
+import kotlin.random.Random
+
 /**
  * Exchanges notices about charges, load and owned endpoints with the other daemons.
  *
@@ -10,14 +12,17 @@
     private val meter: AccountMeter,
     private val ownership: EndpointOwnership,
     private val limits: EndpointLimits,
+    private val prompts: PromptGuard,
 ) {
     private val peers = context.peers
     private val registry = context.registry
     private val options = context.options
-    private val relays = Relays(context, meter, limits, ::buildNotice)
+    private val relays = Relays(context, meter, limits, prompts, ::buildNotice)
     private var sequence = 0L
     private var localSentNanos = Long.MIN_VALUE / 2
     private var remoteSentNanos = Long.MIN_VALUE / 2
+    private var newsSentNanos = Long.MIN_VALUE / 2
+    private val random = Random(options.seed)
 
     /** Returns whether what this daemon knows about the others in a fleet with relays is up to date. */
     fun hasCurrentView(now: Long): Boolean = relays.hasCurrentView(now)
@@ -39,6 +44,7 @@
         }
         registry.applyNotice(now, from, notice)
         limits.applyReports(now, notice.limits)
+        notice.prompts?.let { prompts.receive(now, it) }
         if (peers.get(from.instance.name)?.dataCentre == options.dataCentre) relays.receiveReport(now, notice)
         ownership.reassert()
     }
@@ -50,18 +56,31 @@
 
     /** Sends the notices that are due. */
     fun tick(now: Long) {
-        val includeRemote = now - remoteSentNanos >= REMOTE_NOTICE_NANOS
-        if (now - localSentNanos < LOCAL_NOTICE_NANOS) return
+        if (peers.usesRelays) spreadNews(now)
+        val urgent = !peers.usesRelays && prompts.hasNews && now - localSentNanos >= URGENT_NOTICE_NANOS
+        val includeRemote = urgent || now - remoteSentNanos >= REMOTE_NOTICE_NANOS
+        if (!urgent && now - localSentNanos < LOCAL_NOTICE_NANOS) return
         localSentNanos = now
         if (includeRemote) remoteSentNanos = now
         meter.updateShare(now, peers.reachableCount(now), peers.knownCount)
         meter.renewAllowance(now, REMOTE_NOTICE_NANOS / OrderRights.NANOS_PER_MILLI)
-        if (peers.usesRelays) relays.sendDue(now) else sendToEach(now, includeRemote)
+        if (peers.usesRelays) return relays.sendDue(now)
+        sendToEach(now, includeRemote)
+        if (includeRemote) prompts.hasNews = false
     }
 
     /** Makes the daemons that report to this one choose another relay. */
     fun leave() = relays.leave()
 
+    // Relays may restart one after the other, and a crash must be known everywhere before the next one.
+    private fun spreadNews(now: Long) {
+        if (!prompts.hasNews || now - newsSentNanos < URGENT_NOTICE_NANOS) return
+        newsSentNanos = now
+        prompts.hasNews = false
+        val news = ServingMessage.PromptNews(prompts.report(now) ?: return)
+        peers.others.shuffled(random).take(NEWS_RECEIVERS).forEach { context.ports.send(it, news) }
+    }
+
     private fun sendToEach(now: Long, includeRemote: Boolean) {
         val targets = peers.others.filter { includeRemote || it.dataCentre == options.dataCentre }
         if (targets.isEmpty()) return
@@ -82,6 +101,7 @@
         noticeAgesMillis,
         relayed = emptyList(),
         limits = limits.ownReports(now),
+        prompts = prompts.report(now),
     )
 
     private fun ownLoads(): List<EndpointLoad> = registry.all.filter {
@@ -98,5 +118,11 @@
         // Traffic between data centres is expensive, so remote daemons receive fewer notices.
         const val LOCAL_NOTICE_NANOS = 250_000_000L
         const val REMOTE_NOTICE_NANOS = 500_000_000L
+
+        // A crash is detected by several daemons within a few milliseconds; their news share a notice.
+        const val URGENT_NOTICE_NANOS = 50_000_000L
+
+        // News reach nearly all of 400 daemons within four rounds.
+        const val NEWS_RECEIVERS = 5
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
@@ -51,6 +51,9 @@
     /** The account is over its limit. */
     OVER_LIMIT,
 
+    /** The prompt contains parts that have crashed endpoints. */
+    BLOCKED_PROMPT,
+
     /** Endpoints turned the request away without running it. */
     TURNED_AWAY,
 }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
@@ -15,6 +15,7 @@
     private val context: ServingContext,
     private val meter: AccountMeter,
     private val limits: EndpointLimits,
+    private val prompts: PromptGuard,
     private val buildNotice: (now: Long, noticeAgesMillis: Map<String, Long>) -> ServingNotice,
 ) {
     private class ReceivedReport(val notice: ServingNotice, val receivedNanos: Long)
@@ -125,6 +126,7 @@
         val load = digest.load.associateBy { it.endpoint }
         registry.applyDigest(now, name, load, if (fromOwnRelay) ownLoad else emptyMap(), digest.owned)
         limits.applyReports(now, digest.limits)
+        digest.prompts?.let { prompts.receive(now, it) }
         if (fullDigestReceivedFrom[name] != digest.sender.incarnation) return
         for (charges in digest.charged) {
             meter.recordPeerCharges(now, charges.member, charges.sequence, charges.charged)
@@ -156,6 +158,7 @@
                 changedOwned,
                 localCharges.next(),
                 limitsInReports(now) + remoteLimits(now),
+                prompts.report(now),
             )
         val full by lazy {
             changes.copy(full = true, owned = publishedOwned.values.toList(), charged = localCharges.all())
@@ -222,6 +225,7 @@
                 ownedInReports(),
                 remoteCharges.next(),
                 limitsInReports(now),
+                prompts.report(now),
             )
         }
         val remoteDataCentres = peers.others.mapTo(HashSet()) { it.dataCentre } - dataCentre
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -40,9 +40,11 @@
     private val selector = EndpointSelector(context) { ownership.loadMillis }
     private val meter = AccountMeter(options.self, startedNanos, options.limitSlackTokens)
     private val limits = EndpointLimits(context)
+
+    /** Blocks requests whose prompt crashes endpoints. */
+    public val prompts: PromptGuard = PromptGuard(context, clock, ports.promptBlocks)
     private val permits = PermitScheduler(context)
-    private val crashes = CrashDetector(context) { _, crash -> logCrash(crash) }
-    private val noticeExchange = NoticeExchange(context, meter, ownership, limits)
+    private val noticeExchange = NoticeExchange(context, meter, ownership, limits, prompts)
     private val retryBudgets = HashMap<String, RetryBudget>()
     private var lastTickNanos = startedNanos
 
@@ -134,6 +136,9 @@
         tried: Set<EndpointId> = emptySet(),
         noLoad: Set<EndpointId> = emptySet(),
     ): Placement {
+        if (prompts.block(work) != null) {
+            return Placement.Refuse(RefuseReason.BLOCKED_PROMPT, retryMillis(BLOCKED_PROMPT_RETRY_MILLIS))
+        }
         val service = config?.services?.get(work.service)
             ?: return Placement.Refuse(RefuseReason.NO_ENDPOINT, retryMillis(NO_ENDPOINT_RETRY_MILLIS))
         val spentMillis = (now - work.arrivedNanos) / 1e6
@@ -192,6 +197,7 @@
 
     /** Returns whether [work] may still be sent to [endpoint] and the endpoint holds its models. */
     public fun stillServes(now: Long, work: Work, endpoint: EndpointId): Boolean {
+        if (prompts.block(work) != null) return false
         val state = registry.get(endpoint) ?: return false
         if (!registry.mayServe(state) || state.isBackingOff(now) || state.isPaused(now)) return false
         if (work.base == null || context.engine(state) == null) return true
@@ -271,14 +277,6 @@
         }
     }
 
-    /**
-     * Records that the run of [work] at [endpoint] was cut off by the endpoint; must be called before [recordRunEnd].
-     *
-     * @param begunNanos when the first part of its answer arrived; null if none did.
-     */
-    public fun recordLoss(now: Long, work: Work, endpoint: EndpointId, begunNanos: Long?): Unit =
-        crashes.recordLoss(now, work, endpoint, begunNanos)
-
     /** Records that [endpoint] answered that it does not hold the adapter of [work]. */
     public fun recordAdapterMissing(work: Work, endpoint: EndpointId) {
         val state = registry.get(endpoint) ?: return
@@ -299,6 +297,10 @@
             is ServingMessage.RunBegun -> turnScheduler.receiveRunBegun(message)
             is ServingMessage.PermitAsk -> permits.receiveAsk(now, from.instance.name, message)
             is ServingMessage.PermitEnd -> permits.receiveEnd(now, from.instance.name, message)
+            is ServingMessage.PromptNews -> prompts.receive(now, message.report)
+            is ServingMessage.TrialAsk -> prompts.receiveTrialAsk(now, from.instance.name, message)
+            is ServingMessage.TrialEnd -> prompts.receiveTrialEnd(now, from.instance.name, message)
+            is ServingMessage.TrialDrop -> prompts.receiveTrialDrop(message)
         }
     }
 
@@ -309,7 +311,7 @@
         registry.expire(now).forEach(::onEndpointRemoved)
         turnScheduler.tick(now)
         permits.tick(now)
-        crashes.tick(now)
+        prompts.tick(now)
         ownership.tick(now)
         noticeExchange.tick(now)
     }
@@ -321,13 +323,6 @@
         noticeExchange.leave()
     }
 
-    private fun logCrash(crash: EndpointCrash) {
-        for (suspect in crash.suspects) {
-            val fields = mapOf("id" to suspect.id, "endpoint" to crash.endpoint, "parts" to suspect.parts)
-            ports.logEvent("crash_suspect", fields + mapOf("account" to suspect.account))
-        }
-    }
-
     private fun onEndpointRemoved(id: EndpointId) {
         ownership.remove(id)
         ports.logEvent("endpoint_gone", mapOf("endpoint" to id.name))
@@ -383,6 +378,9 @@
         const val NO_ENDPOINT_RETRY_MILLIS = 600L
         const val NO_PLACE_RETRY_MILLIS = 250L
 
+        // A block ends when an operator lifts it, not by itself.
+        const val BLOCKED_PROMPT_RETRY_MILLIS = 60_000L
+
         // Ticks come every 10 ms. After a longer pause the process was stopped, and messages of others are unread.
         const val PROCESS_PAUSE_NANOS = 500_000_000L
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -89,6 +89,32 @@
         @SerialName("w") public val waitMillis: Long,
     ) : ServingMessage
 
+    /** Requests the permission to send the request [id], whose prompt part [part] may crash endpoints. */
+    @Serializable
+    @SerialName("s")
+    public data class TrialAsk(@SerialName("p") public val part: String, @SerialName("i") public val id: String) :
+        ServingMessage
+
+    /** Answers a [TrialAsk]. */
+    @Serializable
+    @SerialName("v")
+    public data class TrialEnd(
+        @SerialName("p") public val part: String,
+        @SerialName("i") public val id: String,
+        @SerialName("g") public val granted: Boolean,
+    ) : ServingMessage
+
+    /** Ends the trial of the request [id], which was not sent or has ended. */
+    @Serializable
+    @SerialName("x")
+    public data class TrialDrop(@SerialName("p") public val part: String, @SerialName("i") public val id: String) :
+        ServingMessage
+
+    /** Spreads news of crashes in a large fleet without relays; each receiver to which they are new forwards them. */
+    @Serializable
+    @SerialName("w")
+    public data class PromptNews(@SerialName("p") public val report: PromptReport) : ServingMessage
+
     /** Withdraws a [TurnAsk] whose caller has disconnected. */
     @Serializable
     @SerialName("d")
@@ -106,6 +132,7 @@
  * @property noticeAgesMillis age of the newest notice that the sender has received from each daemon.
  * @property relayed charges of other daemons, so that daemons that cannot reach each other still share limits.
  * @property limits rate limits of endpoints that the sender has observed in answers.
+ * @property prompts what the sender knows about prompts that may crash endpoints; null if nothing.
  */
 @Serializable
 @SerialName("n")
@@ -118,6 +145,7 @@
     @SerialName("h") public val noticeAgesMillis: Map<String, Long>,
     @SerialName("r") public val relayed: List<RelayedCharges>,
     @SerialName("m") public val limits: List<ReportedLimit> = emptyList(),
+    @SerialName("p") public val prompts: PromptReport? = null,
 ) : ServingMessage
 
 /**
--- /dev/null
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -0,0 +1,226 @@
+package io.camphordrum.daemon.edge
+
+import io.camphordrum.core.serving.Placement
+import io.camphordrum.core.serving.Repetition
+import io.camphordrum.core.serving.RunEnd
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+
+/** Represents one send to one endpoint. */
+internal class EndpointRun(
+    private val forwarding: Forwarding,
+    val placement: Placement.Send,
+    private val sentNanos: Long,
+) : EndpointAnswerListener {
+    private val forwarder = forwarding.forwarder
+    private val core = forwarder.core
+    private val exchange = forwarding.exchange
+    private val work = forwarding.work
+    private val splitter = forwarding.splitter
+    private val partTimes = forwarding.partTimes
+    lateinit var send: EndpointSend
+    var closed = false
+        private set
+    val hasBegun get() = firstPartNanos != null
+    private var head: AnswerHead? = null
+    private var classification: AnswerClassification? = null
+    private var buffered: ByteBuf? = null
+    private var unwantedBytes = 0
+    private var firstPartNanos: Long? = null
+    private var provedSound = false
+    private val endpoint get() = placement.endpoint
+
+    fun cancel() {
+        if (closed) return
+        recordEnd(RunEnd.CANCELLED)
+        send.cancel()
+    }
+
+    override fun onUnreachable(reason: String) {
+        if (closed) return
+        recordEnd(RunEnd.SILENT)
+        EdgeLog.write("unreachable", forwarding.fields() + mapOf("why" to reason))
+        forwarding.undoSend()
+        forwarding.retryOrFail(endpoint, mayHaveRun = false, "unreachable: $reason")
+    }
+
+    override fun onHead(head: AnswerHead): Boolean {
+        val classified = forwarder.protocol.classify(head, forwarding.request)
+        // Before any of the answer is forwarded, so that no other request is sent to the endpoint in between.
+        forwarder.recordAvailability(
+            head,
+            endpoint,
+            sentNanos,
+            provesNoLimit =
+            classified == AnswerClassification.PROPER,
+        )
+        if (classified == AnswerClassification.OTHER_REQUEST) {
+            EdgeLog.write("other_answer", forwarding.fields() + mapOf("status" to head.status))
+            return false
+        }
+        this.head = head
+        classification = classified
+        if (classified == AnswerClassification.UNPROVEN) {
+            recordEnd(RunEnd.FAILED)
+            send.cancel()
+            forwarding.retryOrFail(endpoint, mayHaveRun = true, "unproven answer with status ${head.status}")
+        } else if (classified == AnswerClassification.PROPER && retriesStatus(head.status)) {
+            recordEnd(RunEnd.FAILED)
+            send.cancel()
+            forwarding.retryOrFail(endpoint, mayHaveRun = true, "status ${head.status}")
+        }
+        return true
+    }
+
+    override fun onPart(part: ByteBuf) {
+        val first = head
+        if (closed || first == null || classification != AnswerClassification.PROPER) {
+            unwantedBytes += part.readableBytes()
+            part.release()
+            if (!closed && unwantedBytes > MAX_UNWANTED_BYTES) cancelTurnedAway()
+            return
+        }
+        recordProgress()
+        if (work.route.streaming && first.status in SUCCESS) relay(first, part) else buffer(first, part)
+    }
+
+    override fun onComplete() {
+        if (closed) return
+        when (classification) {
+            AnswerClassification.NOT_RUN, AnswerClassification.NOT_HERE -> handleTurnedAway()
+            AnswerClassification.PROPER -> completeAnswer()
+            else -> onBroken("the endpoint sent no answer to this request")
+        }
+    }
+
+    override fun onBroken(reason: String) {
+        if (closed) return
+        if (classification == AnswerClassification.NOT_RUN || classification == AnswerClassification.NOT_HERE) {
+            handleTurnedAway()
+            return
+        }
+        EdgeLog.write("run_lost", forwarding.fields() + lossFields(reason))
+        core.prompts.recordLoss(forwarding.now(), work, endpoint, sentNanos, firstPartNanos)
+        recordEnd(if (head == null) RunEnd.SILENT else RunEnd.FAILED)
+        forwarding.retryOrFail(endpoint, mayHaveRun = true, reason)
+    }
+
+    private fun recordProgress() {
+        val now = forwarding.now()
+        val begun = firstPartNanos ?: now.also { firstPartNanos = it }
+        if (!provedSound && now - begun >= WELL_UNDER_WAY_NANOS) recordSound(begun)
+    }
+
+    private fun recordSound(begunNanos: Long) {
+        if (provedSound) return
+        provedSound = true
+        core.prompts.recordSoundAnswer(forwarding.now(), work, begunNanos)
+    }
+
+    private fun lossFields(reason: String): Map<String, Any?> = mapOf(
+        "why" to reason,
+        "parts" to work.promptParts,
+        "headReceived" to (head != null),
+        "sinceFirstPartMillis" to firstPartNanos?.let { (forwarding.now() - it) / NANOS_PER_MILLI },
+    )
+
+    // The head already states that the request has not run; the rest of an oversized body is not needed.
+    private fun cancelTurnedAway() {
+        send.cancel()
+        handleTurnedAway()
+    }
+
+    private fun handleTurnedAway() {
+        val status = head?.status
+        recordEnd(RunEnd.TURNED_AWAY)
+        if (classification == AnswerClassification.NOT_HERE) core.recordAdapterMissing(work, endpoint)
+        EdgeLog.write("turned_away", forwarding.fields() + mapOf("status" to status))
+        forwarding.retryOrFail(endpoint, mayHaveRun = false, "turned away with status $status")
+    }
+
+    private fun retriesStatus(status: Int): Boolean = status >= SERVER_ERROR &&
+        !exchange.headWritten &&
+        work.route.repetition == Repetition.ALLOWED &&
+        forwarding.possibleRuns + 1 < work.route.maxEndpoints
+
+    private fun relay(first: AnswerHead, part: ByteBuf) {
+        val now = forwarding.now()
+        if (exchange.headWritten) core.recordEventGap(work, partTimes.recordNext(now) / 1e6) else startAnswer(first)
+        val events = splitter?.append(part) ?: part
+        if (!exchange.write(events)) send.setReading(false)
+    }
+
+    private fun startAnswer(first: AnswerHead) {
+        val now = forwarding.now()
+        partTimes.recordFirst(now)
+        core.recordFirstPart(work, endpoint, placement.expectedMillis, (now - sentNanos) / 1e6)
+        forwarder.metrics.firstPart.observe((now - work.arrivedNanos) / 1e9)
+        exchange.startAnswer(first.status, first.reason, forwarding.forwardedHeaders(first))
+    }
+
+    private fun buffer(first: AnswerHead, part: ByteBuf) {
+        val bytes = buffered ?: Unpooled.buffer(part.readableBytes()).also { buffered = it }
+        bytes.writeBytes(part)
+        part.release()
+        if (bytes.readableBytes() > forwarder.settings.maxBufferedAnswerBytes) {
+            // Too large to buffer completely; from here on a failure closes the caller's connection.
+            if (!exchange.headWritten) startAnswer(first)
+            buffered = null
+            if (!exchange.write(bytes)) send.setReading(false)
+        }
+    }
+
+    private fun completeAnswer() {
+        val first = head ?: return
+        recordEnd(if (first.status >= SERVER_ERROR) RunEnd.FAILED else RunEnd.COMPLETE)
+        if (first.status in SUCCESS) firstPartNanos?.let(::recordSound)
+        if (!forwarding.finish()) return
+        forwarder.metrics.answers.labelValues(if (first.status in SUCCESS) "served" else "failed_by_endpoint").inc()
+        val firstMillis = (partTimes.firstNanos(forwarding.now()) - work.arrivedNanos) / NANOS_PER_MILLI
+        val pauseMillis = partTimes.longestPauseNanos / NANOS_PER_MILLI
+        val late = firstMillis > work.route.targetMillis || pauseMillis > (work.route.pauseMillis ?: Long.MAX_VALUE)
+        EdgeLog.writeServed(late) {
+            forwarding.fields() + mapOf(
+                "status" to first.status,
+                "sentAfterMillis" to (sentNanos - work.arrivedNanos) / NANOS_PER_MILLI,
+                "firstPartMillis" to firstMillis,
+                "longestPauseMillis" to pauseMillis,
+                "promptTokens" to work.promptTokens,
+            )
+        }
+        if (exchange.headWritten) {
+            splitter?.remainder()?.let(exchange::write)
+            buffered?.let(exchange::write)
+            exchange.endAnswer()
+        } else {
+            val content = buffered ?: Unpooled.EMPTY_BUFFER
+            forwarder.metrics.firstPart.observe((forwarding.now() - work.arrivedNanos) / 1e9)
+            exchange.answer(first.status, first.reason, forwarding.forwardedHeaders(first), content)
+        }
+        buffered = null
+    }
+
+    private fun recordEnd(end: RunEnd) {
+        if (closed) return
+        closed = true
+        forwarder.metrics.sends.labelValues(end.name.lowercase()).inc()
+        core.recordRunEnd(forwarding.now(), work, endpoint, end)
+        if (end != RunEnd.COMPLETE) {
+            buffered?.release()
+            buffered = null
+            splitter?.discardIncomplete()
+        }
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val SERVER_ERROR = 500
+        val SUCCESS = 200..299
+
+        // An endpoint that crashes on a prompt does so when the answer begins.
+        const val WELL_UNDER_WAY_NANOS = 250_000_000L
+
+        // Bodies of refusals are short texts; a longer one is not read to its end.
+        const val MAX_UNWANTED_BYTES = 64 * 1024
+    }
+}
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -27,9 +27,16 @@
     // An engine may have cached prompt parts of earlier requests, so only unseen parts count as new tokens.
     private val recentParts = RecentSet(MAX_PROMPT_PARTS)
 
+    private val open = LinkedHashSet<Forwarding>()
+
     /** Requests without a final answer. */
+    @Volatile
     var openRequests = 0
-        internal set
+        private set
+
+    init {
+        core.prompts.onBlock = { loop.execute { open.toList().forEach { it.endIfBlocked() } } }
+    }
 
     /** Handles one request of a caller. */
     fun handle(exchange: CallerExchange) {
@@ -39,6 +46,16 @@
         }
     }
 
+    internal fun opened(forwarding: Forwarding) {
+        open += forwarding
+        openRequests = open.size
+    }
+
+    internal fun closed(forwarding: Forwarding) {
+        open -= forwarding
+        openRequests = open.size
+    }
+
     private fun resolve(exchange: CallerExchange, request: CallerRequest) {
         val config = core.config
         if (config == null) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -4,7 +4,6 @@
 import io.camphordrum.core.serving.Placement
 import io.camphordrum.core.serving.RefuseReason
 import io.camphordrum.core.serving.Repetition
-import io.camphordrum.core.serving.RunEnd
 import io.camphordrum.core.serving.Work
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -20,38 +19,44 @@
  * about whether the request has run.
  */
 internal class Forwarding(
-    private val forwarder: Forwarder,
-    private val exchange: CallerExchange,
-    private val request: CallerRequest,
-    private val work: Work,
+    internal val forwarder: Forwarder,
+    internal val exchange: CallerExchange,
+    internal val request: CallerRequest,
+    internal val work: Work,
 ) {
     private val core = forwarder.core
     private val tried = HashSet<EndpointId>()
     private val loadFailed = HashSet<EndpointId>()
     private val turnDenied = HashSet<EndpointId>()
-    private val splitter = if (work.route.repetition == Repetition.RESUMABLE) EventSplitter() else null
+    internal val splitter = if (work.route.repetition == Repetition.RESUMABLE) EventSplitter() else null
     private var sends = 0
-    private var possibleRuns = 0
+    internal var possibleRuns = 0
+        private set
     private var loadWaits = 0
     private var turnRequests = 0
-    private var run: Run? = null
+    private var run: EndpointRun? = null
     private var cancelWait: () -> Unit = {}
     private var finished = false
-    private val partTimes = PartTimes()
+    private var hasTrial = false
+    internal val partTimes = PartTimes()
     private lateinit var deadline: Future<*>
 
     fun start() {
-        forwarder.openRequests++
+        forwarder.opened(this)
         exchange.onDisconnect = ::callerDisconnected
         exchange.onWritable = { run?.send?.setReading(true) }
         deadline = forwarder.loop.schedule(::deadlineExpired, work.deadlineNanos - now(), TimeUnit.NANOSECONDS)
         placeRequest()
     }
 
-    private fun now() = forwarder.clock.nanos()
+    internal fun now() = forwarder.clock.nanos()
 
     private fun placeRequest() {
         if (finished) return
+        if (!hasTrial && core.prompts.block(work) == null && core.prompts.needsTrial(work)) {
+            awaitTrial()
+            return
+        }
         when (val placement = core.place(now(), work, tried + turnDenied, loadFailed)) {
             is Placement.Send -> awaitTurn(placement)
             is Placement.AwaitAdapter -> awaitAdapter(placement)
@@ -59,6 +64,36 @@
         }
     }
 
+    // A request that was cut off may have crashed its endpoint, so it is not sent again while a part is suspected.
+    private fun awaitTrial() {
+        if (possibleRuns > 0) {
+            failRequest("suspected_prompt")
+            return
+        }
+        var decided = false
+        val cancel = core.prompts.awaitTrial(now(), work) { granted ->
+            decided = true
+            cancelWait = {}
+            hasTrial = granted
+            forwarder.loop.execute { if (granted) placeRequest() else refuse(RefuseReason.BUSY, RETRY_MILLIS) }
+        }
+        if (!decided) cancelWait = cancel
+    }
+
+    /** Ends the request if its prompt has become blocked and its answer has not begun. */
+    fun endIfBlocked() {
+        if (finished || core.prompts.block(work) == null) return
+        val current = run?.takeIf { !it.closed }
+        if (current == null) {
+            cancelWait()
+            cancelWait = {}
+            placeRequest()
+        } else if (!current.hasBegun) {
+            current.cancel()
+            failRequest("blocked_prompt")
+        }
+    }
+
     private fun awaitAdapter(placement: Placement.AwaitAdapter) {
         if (++loadWaits > MAX_LOAD_WAITS) {
             refuse(RefuseReason.NO_PLACE, RETRY_MILLIS)
@@ -100,7 +135,7 @@
         sends++
         core.recordSend(now, work, placement.endpoint)
         val remainingMillis = maxOf(1, (work.deadlineNanos - now) / NANOS_PER_MILLI)
-        val next = Run(placement, now)
+        val next = EndpointRun(this, placement, now)
         run = next
         val headRequest = exchange.head.method == "HEAD"
         next.send =
@@ -114,10 +149,19 @@
         return requestBytes(exchange.head, headers, exchange.body)
     }
 
+    /** Takes back a send that did not reach its endpoint. */
+    internal fun undoSend() {
+        sends--
+        turnRequests--
+    }
+
     /** Retries the request if its route, progress and deadline permit it; otherwise sends the final answer. */
-    private fun retryOrFail(endpoint: EndpointId, mayHaveRun: Boolean, reason: String) {
+    internal fun retryOrFail(endpoint: EndpointId, mayHaveRun: Boolean, reason: String) {
         tried += endpoint
-        if (mayHaveRun) possibleRuns++
+        if (mayHaveRun) {
+            possibleRuns++
+            hasTrial = false
+        }
         val repeatable = !mayHaveRun || work.route.repetition != Repetition.FORBIDDEN
         val resumable = !exchange.headWritten || (splitter?.lastId != null)
         val withinLimits = possibleRuns < work.route.maxEndpoints && now() < work.deadlineNanos
@@ -175,17 +219,18 @@
         exchange.answer(own.status, own.reason, forwarder.protocol.ownHeaders(request, null), Unpooled.EMPTY_BUFFER)
     }
 
-    private fun finish(): Boolean {
+    internal fun finish(): Boolean {
         if (finished) return false
         finished = true
-        forwarder.openRequests--
+        forwarder.closed(this)
         deadline.cancel(false)
         cancelWait()
+        if (hasTrial) core.prompts.releaseTrial(work)
         splitter?.discardIncomplete()
         return true
     }
 
-    private fun fields(): Map<String, Any?> = mapOf(
+    internal fun fields(): Map<String, Any?> = mapOf(
         "id" to request.id,
         "route" to work.route.name,
         "service" to work.service,
@@ -199,199 +244,15 @@
         "config" to core.config?.version,
     )
 
-    private fun forwardedHeaders(answer: AnswerHead): List<Pair<String, String>> {
+    internal fun forwardedHeaders(answer: AnswerHead): List<Pair<String, String>> {
         val hopByHop = hopByHopHeaders(answer.headers)
         return answer.headers.entries()
             .filter { it.key.lowercase() !in hopByHop && forwarder.protocol.isForwardedToCaller(it.key) }
             .map { it.key to it.value }
     }
 
-    /** Represents one send to one endpoint. */
-    private inner class Run(val placement: Placement.Send, private val sentNanos: Long) : EndpointAnswerListener {
-        lateinit var send: EndpointSend
-        private var closed = false
-        private var head: AnswerHead? = null
-        private var classification: AnswerClassification? = null
-        private var buffered: ByteBuf? = null
-        private var unwantedBytes = 0
-        private var firstPartNanos: Long? = null
-        private val endpoint get() = placement.endpoint
-
-        fun cancel() {
-            if (closed) return
-            recordEnd(RunEnd.CANCELLED)
-            send.cancel()
-        }
-
-        override fun onUnreachable(reason: String) {
-            if (closed) return
-            recordEnd(RunEnd.SILENT)
-            EdgeLog.write("unreachable", fields() + mapOf("why" to reason))
-            sends--
-            turnRequests--
-            retryOrFail(endpoint, mayHaveRun = false, "unreachable: $reason")
-        }
-
-        override fun onHead(head: AnswerHead): Boolean {
-            val classified = forwarder.protocol.classify(head, request)
-            // Before any of the answer is forwarded, so that no other request is sent to the endpoint in between.
-            forwarder.recordAvailability(
-                head,
-                endpoint,
-                sentNanos,
-                provesNoLimit =
-                classified == AnswerClassification.PROPER,
-            )
-            if (classified == AnswerClassification.OTHER_REQUEST) {
-                EdgeLog.write("other_answer", fields() + mapOf("status" to head.status))
-                return false
-            }
-            this.head = head
-            classification = classified
-            if (classified == AnswerClassification.UNPROVEN) {
-                recordEnd(RunEnd.FAILED)
-                send.cancel()
-                retryOrFail(endpoint, mayHaveRun = true, "unproven answer with status ${head.status}")
-            } else if (classified == AnswerClassification.PROPER && retriesStatus(head.status)) {
-                recordEnd(RunEnd.FAILED)
-                send.cancel()
-                retryOrFail(endpoint, mayHaveRun = true, "status ${head.status}")
-            }
-            return true
-        }
-
-        override fun onPart(part: ByteBuf) {
-            val first = head
-            if (closed || first == null || classification != AnswerClassification.PROPER) {
-                unwantedBytes += part.readableBytes()
-                part.release()
-                if (!closed && unwantedBytes > MAX_UNWANTED_BYTES) cancelTurnedAway()
-                return
-            }
-            if (firstPartNanos == null) firstPartNanos = now()
-            if (work.route.streaming && first.status in SUCCESS) relay(first, part) else buffer(first, part)
-        }
-
-        override fun onComplete() {
-            if (closed) return
-            when (classification) {
-                AnswerClassification.NOT_RUN, AnswerClassification.NOT_HERE -> handleTurnedAway()
-                AnswerClassification.PROPER -> completeAnswer()
-                else -> onBroken("the endpoint sent no answer to this request")
-            }
-        }
-
-        override fun onBroken(reason: String) {
-            if (closed) return
-            if (classification == AnswerClassification.NOT_RUN || classification == AnswerClassification.NOT_HERE) {
-                handleTurnedAway()
-                return
-            }
-            EdgeLog.write("run_lost", fields() + lossFields(reason))
-            core.recordLoss(now(), work, endpoint, firstPartNanos)
-            recordEnd(if (head == null) RunEnd.SILENT else RunEnd.FAILED)
-            retryOrFail(endpoint, mayHaveRun = true, reason)
-        }
-
-        private fun lossFields(reason: String): Map<String, Any?> = mapOf(
-            "why" to reason,
-            "parts" to work.promptParts,
-            "headReceived" to (head != null),
-            "sinceFirstPartMillis" to firstPartNanos?.let { (now() - it) / NANOS_PER_MILLI },
-        )
-
-        // The head already states that the request has not run; the rest of an oversized body is not needed.
-        private fun cancelTurnedAway() {
-            send.cancel()
-            handleTurnedAway()
-        }
-
-        private fun handleTurnedAway() {
-            val status = head?.status
-            recordEnd(RunEnd.TURNED_AWAY)
-            if (classification == AnswerClassification.NOT_HERE) core.recordAdapterMissing(work, endpoint)
-            EdgeLog.write("turned_away", fields() + mapOf("status" to status))
-            retryOrFail(endpoint, mayHaveRun = false, "turned away with status $status")
-        }
-
-        private fun retriesStatus(status: Int): Boolean = status >= SERVER_ERROR &&
-            !exchange.headWritten &&
-            work.route.repetition == Repetition.ALLOWED &&
-            possibleRuns + 1 < work.route.maxEndpoints
-
-        private fun relay(first: AnswerHead, part: ByteBuf) {
-            val now = now()
-            if (exchange.headWritten) core.recordEventGap(work, partTimes.recordNext(now) / 1e6) else startAnswer(first)
-            val events = splitter?.append(part) ?: part
-            if (!exchange.write(events)) send.setReading(false)
-        }
-
-        private fun startAnswer(first: AnswerHead) {
-            val now = now()
-            partTimes.recordFirst(now)
-            core.recordFirstPart(work, endpoint, placement.expectedMillis, (now - sentNanos) / 1e6)
-            forwarder.metrics.firstPart.observe((now - work.arrivedNanos) / 1e9)
-            exchange.startAnswer(first.status, first.reason, forwardedHeaders(first))
-        }
-
-        private fun buffer(first: AnswerHead, part: ByteBuf) {
-            val bytes = buffered ?: Unpooled.buffer(part.readableBytes()).also { buffered = it }
-            bytes.writeBytes(part)
-            part.release()
-            if (bytes.readableBytes() > forwarder.settings.maxBufferedAnswerBytes) {
-                // Too large to buffer completely; from here on a failure closes the caller's connection.
-                if (!exchange.headWritten) startAnswer(first)
-                buffered = null
-                if (!exchange.write(bytes)) send.setReading(false)
-            }
-        }
-
-        private fun completeAnswer() {
-            val first = head ?: return
-            recordEnd(if (first.status >= SERVER_ERROR) RunEnd.FAILED else RunEnd.COMPLETE)
-            if (!finish()) return
-            forwarder.metrics.answers.labelValues(if (first.status in SUCCESS) "served" else "failed_by_endpoint").inc()
-            val firstMillis = (partTimes.firstNanos(now()) - work.arrivedNanos) / NANOS_PER_MILLI
-            val pauseMillis = partTimes.longestPauseNanos / NANOS_PER_MILLI
-            val late = firstMillis > work.route.targetMillis || pauseMillis > (work.route.pauseMillis ?: Long.MAX_VALUE)
-            EdgeLog.writeServed(late) {
-                fields() + mapOf(
-                    "status" to first.status,
-                    "sentAfterMillis" to (sentNanos - work.arrivedNanos) / NANOS_PER_MILLI,
-                    "firstPartMillis" to firstMillis,
-                    "longestPauseMillis" to pauseMillis,
-                    "promptTokens" to work.promptTokens,
-                )
-            }
-            if (exchange.headWritten) {
-                splitter?.remainder()?.let(exchange::write)
-                buffered?.let(exchange::write)
-                exchange.endAnswer()
-            } else {
-                val content = buffered ?: Unpooled.EMPTY_BUFFER
-                forwarder.metrics.firstPart.observe((now() - work.arrivedNanos) / 1e9)
-                exchange.answer(first.status, first.reason, forwardedHeaders(first), content)
-            }
-            buffered = null
-        }
-
-        private fun recordEnd(end: RunEnd) {
-            if (closed) return
-            closed = true
-            forwarder.metrics.sends.labelValues(end.name.lowercase()).inc()
-            core.recordRunEnd(now(), work, endpoint, end)
-            if (end != RunEnd.COMPLETE) {
-                buffered?.release()
-                buffered = null
-                splitter?.discardIncomplete()
-            }
-        }
-    }
-
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
-        const val SERVER_ERROR = 500
-        val SUCCESS = 200..299
 
         // Sends after the first, including those that an endpoint turned away; each uses the fleet's retry budget.
         const val MAX_SENDS = 3
@@ -402,8 +263,5 @@
         // Turns requested from endpoints before the request is refused.
         const val MAX_TURN_REQUESTS = 4
         const val RETRY_MILLIS = 300L
-
-        // Bodies of refusals are short texts; a longer one is not read to its end.
-        const val MAX_UNWANTED_BYTES = 64 * 1024
     }
 }
