Treat streams that end inside an event, and unframed answers of a crashed endpoint, as broken

Callers could get an answer that looked complete although its endpoint had broken it off: an answer with neither a length nor chunks ends with its connection, and so do the connections of an endpoint that crashes. The rest of an incomplete event was forwarded, and the answer ended as complete.

A stream must now end between two events. When an answer without a length ends, its endpoint is probed: if it refuses the connection and was not leaving, the answer is broken off.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -244,6 +244,9 @@
         ports.logEvent("endpoint_leaving", mapOf("endpoint" to endpoint.name))
     }
 
+    /** Returns whether [endpoint] is known to end as planned, or is no longer registered. */
+    public fun isLeaving(endpoint: EndpointId): Boolean = registry.get(endpoint)?.let(registry::mayServe) != true
+
     /** Stops sends to [endpoint], which requested a pause, for [millis]. */
     public fun pauseEndpoint(now: Long, endpoint: EndpointId, millis: Long) {
         val state = registry.get(endpoint) ?: return
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -25,6 +25,7 @@
     private var send: EndpointSend? = null
     private var requestWritten = false
     private var skippingAnswer = false
+    private var endedByClose = false
     private var skippedBytes = 0
     private var skippedHeads = 0
     private var reusable = true
@@ -113,6 +114,10 @@
             return
         }
         skippingAnswer = !belongsToRequest
+        endedByClose = !headRequest &&
+            status !in EMPTY_STATUSES &&
+            !HttpUtil.isContentLengthSet(response) &&
+            !HttpUtil.isTransferEncodingChunked(response)
         if (!belongsToRequest) reusable = false
         if (!HttpUtil.isKeepAlive(response)) reusable = false
         val keepMillis = response.headers().get(KEEP_ALIVE)?.let(::keepAliveMillis) ?: settings.idleMillis
@@ -134,7 +139,7 @@
             // Returned to the idle pool before the listener runs, because it may send the next request immediately.
             val reuse = reusable && requestWritten && ctx.channel().isActive && reusableUntilNanos > System.nanoTime()
             if (reuse) onIdle(this) else ctx.close()
-            currentSend.listener.onComplete()
+            currentSend.listener.onComplete(endedByClose)
         }
         content.release()
     }
@@ -155,6 +160,7 @@
 
     private companion object {
         val INTERIM = 100..199
+        val EMPTY_STATUSES = setOf(204, 304)
         val KEEP_ALIVE = AsciiString.cached("keep-alive")
         const val NANOS_PER_MILLI = 1_000_000L
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -4,8 +4,8 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelInitializer
-import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -25,8 +25,13 @@
     /** Called with a part of the body; the listener releases it. */
     fun onPart(part: ByteBuf)
 
-    /** Called when the answer is complete. */
-    fun onComplete()
+    /**
+     * Called when the answer is complete.
+     *
+     * @param endedByClose whether the answer has neither a length nor chunks, so that only the end of its connection
+     *   ended it. An endpoint that crashes closes its connections in the same way.
+     */
+    fun onComplete(endedByClose: Boolean)
 
     /** Called when the connection failed or received an invalid answer; the request may have run. */
     fun onBroken(reason: String)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.daemon.edge
 
 import io.camphordrum.core.serving.Placement
+import io.camphordrum.core.serving.ProbeResult
 import io.camphordrum.core.serving.Repetition
 import io.camphordrum.core.serving.RunEnd
 import io.netty.buffer.ByteBuf
@@ -28,6 +29,8 @@
     private var unwantedBytes = 0
     private var firstPartNanos: Long? = null
     private var provedSound = false
+    private val boundary = EventBoundary()
+    private val isStream get() = work.route.streaming && head?.let { it.status in SUCCESS } == true
     private val endpoint get() = placement.endpoint
 
     fun cancel() {
@@ -81,18 +84,32 @@
             return
         }
         recordProgress()
-        if (work.route.streaming && first.status in SUCCESS) relay(first, part) else buffer(first, part)
+        if (isStream) relay(first, part) else buffer(first, part)
     }
 
-    override fun onComplete() {
+    override fun onComplete(endedByClose: Boolean) {
         if (closed) return
         when (classification) {
             AnswerClassification.NOT_RUN, AnswerClassification.NOT_HERE -> handleTurnedAway()
-            AnswerClassification.PROPER -> completeAnswer()
+            AnswerClassification.PROPER -> when {
+                isStream && !boundary.isAtBoundary && (hasBegun || endedByClose) ->
+                    onBroken("the stream ended inside an event")
+                endedByClose -> completeUnlessCrashed()
+                else -> completeAnswer()
+            }
             else -> onBroken("the endpoint sent no answer to this request")
         }
     }
 
+    // The connections of an endpoint that crashes end in the same way as an answer without a length.
+    private fun completeUnlessCrashed() {
+        forwarder.connections.probe(placement.address) { result ->
+            if (closed) return@probe
+            val crashed = result == ProbeResult.REFUSED && !core.isLeaving(endpoint)
+            if (crashed) onBroken("the endpoint ended with an answer without a length") else completeAnswer()
+        }
+    }
+
     override fun onBroken(reason: String) {
         if (closed) return
         if (classification == AnswerClassification.NOT_RUN || classification == AnswerClassification.NOT_HERE) {
@@ -146,6 +163,7 @@
     private fun relay(first: AnswerHead, part: ByteBuf) {
         val now = forwarding.now()
         if (exchange.headWritten) core.recordEventGap(work, partTimes.recordNext(now) / 1e6) else startAnswer(first)
+        boundary.append(part)
         val events = splitter?.append(part) ?: part
         if (!exchange.write(events)) send.setReading(false)
     }
