Store blocks of prompts again when the store comes back without them

When the store returns from an older copy, a list lacks the blocks that were stored since. A block that a list lacks is now stored again; only the deletion that a watch reports lifts it.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/PromptGuard.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PromptGuard.kt
@@ -94,10 +94,14 @@
         }
     }
 
-    /** Applies the stored blocks; those that were stored before and are missing now were lifted. */
+    /**
+     * Applies all stored blocks.
+     *
+     * A block that is missing is stored again: the store may have lost it. Only [lift] ends a block.
+     */
     public fun replaceStored(now: Long, stored: Collection<PromptBlock>) {
         val ids = stored.mapTo(HashSet()) { it.id }
-        blocks.filter { (id, held) -> held.stored && id !in ids }.keys.forEach(::lift)
+        for ((id, held) in blocks) if (id !in ids) held.stored = false
         stored.forEach { putStored(now, it) }
     }
 
--- a/core/src/test/kotlin/io/camphordrum/core/serving/PromptCrashFleetTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/PromptCrashFleetTest.kt
@@ -126,6 +126,18 @@
                 assertTrue(blocks.isNotEmpty(), name)
             }) { stopStore(12_000) }
 
+        // Guards against blocks that are taken for lifted because the store came back from a copy without them.
+        @ParameterizedTest
+        @CsvSource("7, 0.05", "95, 0.02")
+        fun `a block outlasts a store that comes back from an older copy`(size: Int, share: Double) =
+            play(size, share, { name ->
+                assertBlocked(name, size)
+                assertTrue(blocks.isNotEmpty(), name)
+            }) {
+                run(10_000)
+                restoreStore()
+            }
+
         @ParameterizedTest
         @CsvSource("7, 0.05", "95, 0.02")
         fun `the bound holds while endpoints also crash for other reasons`(size: Int, share: Double) =
--- a/core/src/test/kotlin/io/camphordrum/core/serving/PromptFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/PromptFleet.kt
@@ -154,6 +154,9 @@
         for (id in ids) nodes.forEach { it.core.prompts.lift(id) }
     }
 
+    /** Makes the store come back from a copy without any block. */
+    fun restoreStore() = store.blocks.clear()
+
     fun run(millis: Long) = repeat((millis / TICK_MILLIS).toInt()) {
         clock.advance(TICK_MILLIS)
         while (events.isNotEmpty() && events.peek().nanos <= now) events.poll().action()
