Log each end of an answer that continued a stream or had no length

Missing: nothing in the log or the metrics distinguished the hypotheses, because served requests are sampled and their lines do not say how the answer was framed, or whether it continued a stream. Change: `answer_end` with status, framing, last event and the result of the probe, never sampled, and a counter with the same distinction. No decision changes.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
@@ -18,6 +18,10 @@
     /** Sends to endpoints by result. */
     val sends: Counter = counter("camphordrum_edge_sends_total", "Sends to endpoints by how they ended.", "end")
 
+    /** Ends of answers that only their connection ended, or that continued a stream. */
+    val answerEnds: Counter =
+        counter("camphordrum_edge_answer_ends_total", "Ends of unframed and of continued answers.", "framing", "run")
+
     /** Orders to endpoints by result. */
     val orders: Counter = counter("camphordrum_edge_orders_total", "Orders to endpoints by how they ended.", "end")
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -29,6 +29,9 @@
     private var unwantedBytes = 0
     private var firstPartNanos: Long? = null
     private var provedSound = false
+
+    // Whether this run continues an answer that an earlier run began.
+    private val continues = exchange.headWritten
     private val boundary = EventBoundary()
     private val isStream get() = work.route.streaming && head?.let { it.status in SUCCESS } == true
     private val endpoint get() = placement.endpoint
@@ -95,7 +98,10 @@
                 isStream && !boundary.isAtBoundary && (hasBegun || endedByClose) ->
                     onBroken("the stream ended inside an event")
                 endedByClose -> completeUnlessCrashed()
-                else -> completeAnswer()
+                else -> {
+                    if (continues) logEnd("framed")
+                    completeAnswer()
+                }
             }
             else -> onBroken("the endpoint sent no answer to this request")
         }
@@ -105,6 +111,7 @@
     private fun completeUnlessCrashed() {
         forwarder.connections.probe(placement.address) { result ->
             if (closed) return@probe
+            logEnd("closed", result)
             val crashed = result == ProbeResult.REFUSED && !core.isLeaving(endpoint)
             if (crashed) onBroken("the endpoint ended with an answer without a length") else completeAnswer()
         }
@@ -122,6 +129,19 @@
         forwarding.retryOrFail(endpoint, mayHaveRun = true, reason)
     }
 
+    // Ends that decide whether the caller sees a complete answer, and that are rare enough to be logged each time.
+    private fun logEnd(framing: String, probe: ProbeResult? = null) {
+        forwarder.metrics.answerEnds.labelValues(framing, if (continues) "continued" else "first").inc()
+        val fields = mapOf(
+            "status" to head?.status,
+            "framing" to framing,
+            "continues" to continues,
+            "lastEventId" to splitter?.lastId,
+            "probe" to probe?.name?.lowercase(),
+        )
+        EdgeLog.write("answer_end", forwarding.fields() + fields)
+    }
+
     private fun recordProgress() {
         val now = forwarding.now()
         val begun = firstPartNanos ?: now.also { firstPartNanos = it }
