Accept only a continuation into an answer that has begun

Cause: nothing compared the answer of the next endpoint with the one that had begun. An answer that was not a 2xx was buffered, written into the caller's stream and ended it; a 204, another content type or an empty stream ended it as well. Change: a run that continues an answer must have the status of the first one and again events. Anything else is cancelled at its head and counts as a failed run, so that the stream goes on at a further endpoint inside the limits of its route or is broken off. A continuation that ends without any event is no end of the stream. A refusal stays a refusal. Why it works: after the head was written, the only writes into the caller's answer are events of a run whose head was accepted. Evidence: failed before with the answer framed as complete, or with the error in it: an error (with and without a body, long, or sent as events), an error before a third endpoint, other successes, an empty continuation. Passed before and guarded now: half a head or garbage, refusals with and without proof, a continuation that breaks too, the deadline and the caller's disconnect meanwhile, a long buffered answer that breaks off.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
@@ -2,13 +2,20 @@
 
 import io.camphordrum.core.serving.Placement
 import io.camphordrum.core.serving.Work
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 
 /** Holds the head of a caller's request as received; [target] is not percent-decoded. */
 data class CallerHead(val method: String, val target: String, val headers: HttpHeaders)
 
 /** Holds the head of an endpoint's answer. */
-data class AnswerHead(val status: Int, val reason: String, val headers: HttpHeaders)
+data class AnswerHead(val status: Int, val reason: String, val headers: HttpHeaders) {
+    /** Returns whether the body is server-sent events, as is assumed of an answer without a type. */
+    internal fun isEventStream(): Boolean {
+        val type = headers.get(HttpHeaderNames.CONTENT_TYPE) ?: return true
+        return type.substringBefore(';').trim().equals("text/event-stream", ignoreCase = true)
+    }
+}
 
 /**
  * Describes one request of a caller independently of the platform's header names.
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -6,6 +6,7 @@
 import io.camphordrum.core.serving.RunEnd
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
 
 /** Represents one send to one endpoint. */
 internal class EndpointRun(
@@ -70,6 +71,8 @@
             recordEnd(RunEnd.FAILED)
             send.cancel()
             forwarding.retryOrFail(endpoint, mayHaveRun = true, "unproven answer with status ${head.status}")
+        } else if (classified == AnswerClassification.PROPER && continues && !isContinuation(head)) {
+            breakOff("no continuation: status ${head.status}, type ${head.headers.get(HttpHeaderNames.CONTENT_TYPE)}")
         } else if (classified == AnswerClassification.PROPER && retriesStatus(head.status)) {
             recordEnd(RunEnd.FAILED)
             send.cancel()
@@ -95,7 +98,7 @@
         when (classification) {
             AnswerClassification.NOT_RUN, AnswerClassification.NOT_HERE -> handleTurnedAway()
             AnswerClassification.PROPER -> when {
-                isStream && !boundary.isAtBoundary && (hasBegun || endedByClose) ->
+                isStream && !boundary.isAtBoundary && (hasBegun || endedByClose || continues) ->
                     onBroken("the stream ended inside an event")
                 endedByClose -> completeUnlessCrashed()
                 else -> {
@@ -180,6 +183,21 @@
         work.route.repetition == Repetition.ALLOWED &&
         forwarding.possibleRuns + 1 < work.route.maxEndpoints
 
+    // An answer that is not the rest of the caller's stream must neither be written into it nor end it.
+    private fun isContinuation(head: AnswerHead): Boolean {
+        val first = forwarding.startedHead ?: return false
+        val losesType = first.headers.contains(HttpHeaderNames.CONTENT_TYPE) &&
+            !head.headers.contains(HttpHeaderNames.CONTENT_TYPE)
+        return head.status == first.status && head.isEventStream() && !losesType
+    }
+
+    private fun breakOff(reason: String) {
+        EdgeLog.write("run_lost", forwarding.fields() + lossFields(reason))
+        recordEnd(RunEnd.FAILED)
+        send.cancel()
+        forwarding.retryOrFail(endpoint, mayHaveRun = true, reason)
+    }
+
     private fun relay(first: AnswerHead, part: ByteBuf) {
         val now = forwarding.now()
         if (exchange.headWritten) core.recordEventGap(work, partTimes.recordNext(now) / 1e6) else startAnswer(first)
@@ -193,6 +211,7 @@
         partTimes.recordFirst(now)
         core.recordFirstPart(work, endpoint, placement.expectedMillis, (now - sentNanos) / 1e6)
         forwarder.metrics.firstPart.observe((now - work.arrivedNanos) / 1e9)
+        forwarding.startedHead = first
         exchange.startAnswer(first.status, first.reason, forwarding.forwardedHeaders(first))
     }
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -29,6 +29,9 @@
     private val loadFailed = HashSet<EndpointId>()
     private val turnDenied = HashSet<EndpointId>()
     internal val splitter = if (work.route.repetition == Repetition.RESUMABLE) EventSplitter() else null
+
+    /** Head of the answer that was started for the caller; null before that. */
+    internal var startedHead: AnswerHead? = null
     private var sends = 0
     internal var possibleRuns = 0
         private set
