Release only whole events on every streaming route

What callers saw: on routes that cannot be resumed, half an event before a broken connection; on all routes, an answer whose head was written although its stream broke off before the first event, so that only a closed connection could follow. Cause: whole events were separated on resumable routes only, the end inside an event was tracked by a second class with other rules for line ends, and the head was written with the first bytes. An incomplete event was copied with each part and grew without limit. The head is written with the first whole event; comments before it wait.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -18,7 +18,7 @@
     private val core = forwarder.core
     private val exchange = forwarding.exchange
     private val work = forwarding.work
-    private val splitter = forwarding.splitter
+    private val events = forwarding.events
     private val partTimes = forwarding.partTimes
     lateinit var send: EndpointSend
     var closed = false
@@ -33,8 +33,9 @@
 
     // Whether this run continues an answer that an earlier run began.
     private val continues = exchange.headWritten
-    private val boundary = EventBoundary()
-    private val isStream get() = work.route.streaming && head?.let { it.status in SUCCESS } == true
+
+    // The caller's stream if this answer consists of its events.
+    private val stream get() = events?.takeIf { head?.let { it.status in SUCCESS } == true }
     private val endpoint get() = placement.endpoint
 
     fun cancel() {
@@ -90,20 +91,22 @@
             return
         }
         recordProgress()
-        if (isStream) relay(first, part) else buffer(first, part)
+        stream?.let { relay(first, it, part) } ?: buffer(first, part)
     }
 
     override fun onComplete(endedByClose: Boolean) {
         if (closed) return
         when (classification) {
             AnswerClassification.NOT_RUN, AnswerClassification.NOT_HERE -> handleTurnedAway()
-            AnswerClassification.PROPER -> when {
-                isStream && !boundary.isAtBoundary && (hasBegun || endedByClose || continues) ->
-                    onBroken("the stream ended inside an event")
-                endedByClose -> completeUnlessCrashed()
-                else -> {
-                    if (continues) logEnd("framed")
-                    completeAnswer()
+            AnswerClassification.PROPER -> {
+                val fault = stream?.endFault(eventNeeded = continues || endedByClose)
+                when {
+                    fault != null -> onBroken(fault)
+                    endedByClose -> completeUnlessCrashed()
+                    else -> {
+                        if (continues) logEnd("framed")
+                        completeAnswer()
+                    }
                 }
             }
             else -> onBroken("the endpoint sent no answer to this request")
@@ -139,7 +142,7 @@
             "status" to head?.status,
             "framing" to framing,
             "continues" to continues,
-            "lastEventId" to splitter?.lastId,
+            "lastEventId" to events?.lastId,
             "probe" to probe?.name?.lowercase(),
         )
         EdgeLog.write("answer_end", forwarding.fields() + fields)
@@ -198,12 +201,17 @@
         forwarding.retryOrFail(endpoint, mayHaveRun = true, reason)
     }
 
-    private fun relay(first: AnswerHead, part: ByteBuf) {
-        val now = forwarding.now()
-        if (exchange.headWritten) core.recordEventGap(work, partTimes.recordNext(now) / 1e6) else startAnswer(first)
-        boundary.append(part)
-        val events = splitter?.append(part) ?: part
-        if (!exchange.write(events)) send.setReading(false)
+    private fun relay(first: AnswerHead, stream: EventStream, part: ByteBuf) {
+        val whole = stream.append(part)
+        if (whole.isReadable) {
+            if (exchange.headWritten) {
+                core.recordEventGap(work, partTimes.recordNext(forwarding.now()) / 1e6)
+            } else {
+                startAnswer(first)
+            }
+        }
+        if (!exchange.write(whole)) send.setReading(false)
+        stream.fault?.let(::breakOff)
     }
 
     private fun startAnswer(first: AnswerHead) {
@@ -246,11 +254,10 @@
             )
         }
         if (exchange.headWritten) {
-            splitter?.remainder()?.let(exchange::write)
             buffered?.let(exchange::write)
             exchange.endAnswer()
         } else {
-            val content = buffered ?: Unpooled.EMPTY_BUFFER
+            val content = buffered ?: events?.remainder() ?: Unpooled.EMPTY_BUFFER
             forwarder.metrics.firstPart.observe((forwarding.now() - work.arrivedNanos) / 1e9)
             exchange.answer(first.status, first.reason, forwarding.forwardedHeaders(first), content)
         }
@@ -265,7 +272,7 @@
         if (end != RunEnd.COMPLETE) {
             buffered?.release()
             buffered = null
-            splitter?.discardIncomplete()
+            events?.discardIncomplete()
         }
     }
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -28,7 +28,8 @@
     private val tried = HashSet<EndpointId>()
     private val loadFailed = HashSet<EndpointId>()
     private val turnDenied = HashSet<EndpointId>()
-    internal val splitter = if (work.route.repetition == Repetition.RESUMABLE) EventSplitter() else null
+    private val resumable = work.route.repetition == Repetition.RESUMABLE
+    internal val events = if (work.route.streaming) EventStream() else null
 
     /** Head of the answer that was started for the caller; null before that. */
     internal var startedHead: AnswerHead? = null
@@ -138,6 +139,7 @@
         sends++
         core.recordSend(now, work, placement.endpoint)
         val remainingMillis = maxOf(1, (work.deadlineNanos - now) / NANOS_PER_MILLI)
+        events?.startRun()
         val next = EndpointRun(this, placement, now)
         run = next
         val headRequest = exchange.head.method == "HEAD"
@@ -148,7 +150,7 @@
     private fun encodeRequest(placement: Placement.Send, remainingMillis: Long): ByteBuf {
         val headers = DefaultHttpHeaders(false)
         forwarder.protocol
-            .writeForwardedHeaders(exchange.head, work, placement, remainingMillis, splitter?.lastId, headers)
+            .writeForwardedHeaders(exchange.head, work, placement, remainingMillis, events?.lastId, headers)
         return requestBytes(exchange.head, headers, exchange.body)
     }
 
@@ -166,9 +168,9 @@
             hasTrial = false
         }
         val repeatable = !mayHaveRun || work.route.repetition != Repetition.FORBIDDEN
-        val resumable = !exchange.headWritten || (splitter?.lastId != null)
+        val continuable = !exchange.headWritten || (resumable && events?.lastId != null)
         val withinLimits = possibleRuns < work.route.maxEndpoints && now() < work.deadlineNanos
-        if (repeatable && resumable && withinLimits) placeRequest() else failRequest(reason)
+        if (repeatable && continuable && withinLimits) placeRequest() else failRequest(reason)
     }
 
     private fun refuse(reason: RefuseReason, retryMillis: Long, placement: Placement.Refuse? = null) {
@@ -229,7 +231,6 @@
         deadline.cancel(false)
         cancelWait()
         if (hasTrial) core.prompts.releaseTrial(work)
-        splitter?.discardIncomplete()
         return true
     }
 
