Break a stream off at an event out of order

What callers could see: events twice or out of order, within one run, when a continuation ignored the id to continue after and began anew, or after the Last-Event-Id that the caller sent. Cause: ids were read for the resumption only and never compared. Change: numeric ids must increase, with steps of any size, within a run, across runs and, on resumable routes, after the caller's Last-Event-Id. Of other ids, a repeat of the last one is found. Nothing of such an event is written; its run is cancelled, counts as possibly run, and the stream goes on elsewhere inside the limits or is broken off. After an event without an id a stream is not continued, because that event could come twice unnoticed.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
@@ -25,6 +25,7 @@
  * @property waitMillis how long the caller waits for its answer; null when the request does not state it.
  * @property promptTokens number of tokens in the prompt; null when the request does not state it.
  * @property sharedPromptParts ids of the parts of the prompt that other requests may share, in order.
+ * @property lastEventId id of the event after which the caller continues a stream; null when it sends none.
  * @property ownPromptPart id and token count of the part of the prompt that belongs to this request or its session.
  */
 data class CallerRequest(
@@ -39,6 +40,7 @@
     val outputTokens: Int?,
     val ownPromptPart: Pair<String, Int>? = null,
     val sharedPromptParts: List<String> = emptyList(),
+    val lastEventId: String? = null,
 )
 
 /** Represents the result of parsing the head of a caller's request. */
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EventStream.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EventStream.kt
@@ -6,21 +6,28 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * Reads the server-sent events of one caller's stream and releases only whole events.
+ * Reads the server-sent events of one caller's stream and releases only whole events whose ids increase.
  *
  * The stream consists of one run or of several that continue each other. Lines end with `\n`, `\r\n` or `\r`; a blank
- * line ends an event. Comments and blank lines are released with the event that follows them, or at once after the
- * first event of a run.
+ * line ends an event. Numeric ids must increase; of other ids, one that equals the id before it is a repeat. Comments
+ * and blank lines are released with the event that follows them, or at once after the first event of a run.
+ *
+ * @param lastId id of the last event that the caller already has, or null.
  */
-internal class EventStream {
-    /** Id of the last released event that has one, or null. */
-    var lastId: String? = null
+internal class EventStream(lastId: String? = null) {
+    /** Id of the last released event that has one, or the id that the caller already has. */
+    var lastId: String? = lastId
+        private set
+
+    /** Id after which another run can continue the stream; null if the last released event has none. */
+    var resumeId: String? = null
         private set
 
     /** Why the events of the current run cannot be released any further, or null. */
     var fault: String? = null
         private set
 
+    private var lastNumber: String? = lastId?.takeIf(::isNumeric)
     private var incomplete: ByteBuf = Unpooled.EMPTY_BUFFER
     private var runEvents = 0
 
@@ -60,9 +67,9 @@
     }
 
     /**
-     * Appends [part] and returns the bytes of all events that are whole; the caller releases the result.
+     * Appends [part] and returns the bytes of all events that are whole and in order; the caller releases the result.
      *
-     * After an event that is larger than [MAX_EVENT_BYTES], [fault] is set and no more is returned.
+     * After an event that is not in order, or is larger than [MAX_EVENT_BYTES], [fault] is set and no more is returned.
      */
     fun append(part: ByteBuf): ByteBuf {
         val start = part.readerIndex()
@@ -96,7 +103,7 @@
 
     private fun scan(part: ByteBuf, start: Int, end: Int) {
         var index = start
-        while (index < end) {
+        while (index < end && fault == null) {
             if (field == Field.OTHER || field == Field.COMMENT) {
                 val lineEnd = part.forEachByte(index, end - index, ByteProcessor.FIND_CRLF)
                 if (lineEnd < 0) return
@@ -112,7 +119,7 @@
             awaitsLineFeed = false
             lastEndIsCrLf = byte == LINE_FEED
             endEvent(if (lastEndIsCrLf) index + 1 else index)
-            if (lastEndIsCrLf) return
+            if (lastEndIsCrLf || fault != null) return
         }
         when {
             byte == LINE_FEED && afterReturn -> {
@@ -163,8 +170,15 @@
 
     private fun endEvent(end: Int) {
         if (hasField) {
+            val eventId = id?.ifEmpty { null }
+            fault = eventId?.let(::orderFault)
+            if (fault != null) return
             runEvents++
-            lastId = id?.ifEmpty { null } ?: lastId
+            resumeId = eventId
+            if (eventId != null) {
+                lastId = eventId
+                if (isNumeric(eventId)) lastNumber = eventId
+            }
         }
         inEvent = false
         hasField = false
@@ -172,6 +186,12 @@
         if (runEvents > 0) releasable = end
     }
 
+    private fun orderFault(eventId: String): String? {
+        val number = lastNumber
+        val inOrder = if (number != null && isNumeric(eventId)) isGreater(eventId, number) else eventId != lastId
+        return if (inOrder) null else "the event with id $eventId came after $lastId"
+    }
+
     private fun release(part: ByteBuf, bytes: Int): ByteBuf {
         if (!incomplete.isReadable) return part.readRetainedSlice(bytes)
         return incomplete.writeBytes(part, bytes).also { incomplete = Unpooled.EMPTY_BUFFER }
@@ -202,5 +222,14 @@
         private const val SPACE = ' '.code.toByte()
         private const val LETTER_I = 'i'.code.toByte()
         private const val LETTER_D = 'd'.code.toByte()
+
+        private fun isNumeric(id: String) = id.isNotEmpty() && id.all { it in '0'..'9' }
+
+        // Ids may have more digits than a long.
+        private fun isGreater(id: String, than: String): Boolean {
+            val digits = id.trimStart('0')
+            val lastDigits = than.trimStart('0')
+            return if (digits.length == lastDigits.length) digits > lastDigits else digits.length > lastDigits.length
+        }
     }
 }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -29,7 +29,8 @@
     private val loadFailed = HashSet<EndpointId>()
     private val turnDenied = HashSet<EndpointId>()
     private val resumable = work.route.repetition == Repetition.RESUMABLE
-    internal val events = if (work.route.streaming) EventStream() else null
+    internal val events =
+        if (work.route.streaming) EventStream(request.lastEventId.takeIf { resumable }) else null
 
     /** Head of the answer that was started for the caller; null before that. */
     internal var startedHead: AnswerHead? = null
@@ -150,7 +151,7 @@
     private fun encodeRequest(placement: Placement.Send, remainingMillis: Long): ByteBuf {
         val headers = DefaultHttpHeaders(false)
         forwarder.protocol
-            .writeForwardedHeaders(exchange.head, work, placement, remainingMillis, events?.lastId, headers)
+            .writeForwardedHeaders(exchange.head, work, placement, remainingMillis, events?.resumeId, headers)
         return requestBytes(exchange.head, headers, exchange.body)
     }
 
@@ -168,7 +169,7 @@
             hasTrial = false
         }
         val repeatable = !mayHaveRun || work.route.repetition != Repetition.FORBIDDEN
-        val continuable = !exchange.headWritten || (resumable && events?.lastId != null)
+        val continuable = !exchange.headWritten || (resumable && events?.resumeId != null)
         val withinLimits = possibleRuns < work.route.maxEndpoints && now() < work.deadlineNanos
         if (repeatable && continuable && withinLimits) placeRequest() else failRequest(reason)
     }
