Answer a success that is not an event stream as a whole

What callers could see: on a streaming route, a JSON answer sent in parts under a started head, so that a broken one could not be answered with 502. Cause: every 2xx on a streaming route was read as events. Change: only text/event-stream, or an answer without a type, is read as events; another success is buffered and ended by its own framing. Evidence: "a first answer that is not an event stream is answered whole" failed on the code before these changes. Measured: it passes, with the other tests of ResumedStreamTest.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -35,7 +35,7 @@
     private val continues = exchange.headWritten
 
     // The caller's stream if this answer consists of its events.
-    private val stream get() = events?.takeIf { head?.let { it.status in SUCCESS } == true }
+    private val stream get() = events?.takeIf { head?.let { it.status in SUCCESS && it.isEventStream() } == true }
     private val endpoint get() = placement.endpoint
 
     fun cancel() {
