Reuse no connection on which an id was refused for that id

Callers were told "not run, try again" (503) for a request that ran, or such a request ran at a second replica. A replica wrote the refusal of an earlier send of the same id once more on a kept connection; the id matched, so the daemon took it for the answer to the second send.

Each connection records the ids that it answered. It is not used for a send of an id on it, so a repeated answer cannot meet a send of its own id.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -31,6 +31,8 @@
     private var reusable = true
     private var error: String? = null
     private var reusableUntilNanos = 0L
+    private var answerStatus = 0
+    private val answeredIds = AnsweredIds()
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
@@ -59,7 +61,10 @@
         onIdle(this)
     }
 
-    fun isUsable(now: Long): Boolean = context?.channel()?.isActive == true && now < reusableUntilNanos
+    fun isUsable(now: Long): Boolean = reusable && context?.channel()?.isActive == true && now < reusableUntilNanos
+
+    /** Returns whether a repeated earlier answer on this connection could be taken for the answer to [id]. */
+    fun mayRepeatAnswer(id: String?): Boolean = id != null && id in answeredIds
 
     /** Closes the connection; [reset] resets it, so that bytes not yet acknowledged are not retransmitted. */
     fun close(reset: Boolean = false) {
@@ -114,6 +119,7 @@
             return
         }
         skippingAnswer = !belongsToRequest
+        answerStatus = status
         endedByClose = !headRequest &&
             status !in EMPTY_STATUSES &&
             !HttpUtil.isContentLengthSet(response) &&
@@ -136,6 +142,7 @@
         if (part.isReadable) currentSend.listener.onPart(part.retain())
         if (content is LastHttpContent && !currentSend.cancelled && send === currentSend) {
             send = null
+            recordAnswer(currentSend.id)
             // Returned to the idle pool before the listener runs, because it may send the next request immediately.
             val reuse = reusable && requestWritten && ctx.channel().isActive && reusableUntilNanos > System.nanoTime()
             if (reuse) onIdle(this) else ctx.close()
@@ -144,6 +151,12 @@
         content.release()
     }
 
+    private fun recordAnswer(id: String?) {
+        if (id == null) return
+        answeredIds.add(id, success = answerStatus in SUCCESS)
+        if (answeredIds.isFull) reusable = false
+    }
+
     // Data that belongs to no request can be unlimited, so its amount is bounded.
     private fun countSkipped(ctx: ChannelHandlerContext, currentSend: EndpointSend, bytes: Int = 0, heads: Int = 0) {
         skippedBytes += bytes
@@ -160,6 +173,7 @@
 
     private companion object {
         val INTERIM = 100..199
+        val SUCCESS = 200..299
         val EMPTY_STATUSES = setOf(204, 304)
         val KEEP_ALIVE = AsciiString.cached("keep-alive")
         const val NANOS_PER_MILLI = 1_000_000L
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -58,6 +58,8 @@
      *
      * @param permitted checked after a new connection opens, before the first byte; false ends it as unreachable.
      * @param headRequest whether the answer has no body, as for HEAD.
+     * @param id the id that the endpoint repeats in its answers, so that no connection on which this id was refused is
+     *   used; null if answers have no id.
      */
     fun send(
         address: String,
@@ -65,9 +67,10 @@
         headRequest: Boolean,
         listener: EndpointAnswerListener,
         permitted: () -> Boolean = { true },
+        id: String? = null,
     ): EndpointSend {
-        val send = EndpointSend(listener)
-        val idleConnection = acquireIdle(address)
+        val send = EndpointSend(listener, id)
+        val idleConnection = acquireIdle(address, id)
         if (idleConnection != null) {
             idleConnection.start(send, request, headRequest)
             return send
@@ -140,15 +143,17 @@
             connection.headRequest || super.isContentAlwaysEmpty(message)
     }
 
-    private fun acquireIdle(address: String): EndpointConnection? {
+    private fun acquireIdle(address: String, id: String?): EndpointConnection? {
         val idleConnections = idleByAddress[address] ?: return null
         val now = System.nanoTime()
-        while (idleConnections.isNotEmpty()) {
-            val connection = idleConnections.removeLast()
-            if (connection.isUsable(now)) return connection
-            connection.close()
+        idleConnections.removeAll { connection ->
+            val usable = connection.isUsable(now)
+            if (!usable) connection.close()
+            !usable
         }
-        return null
+        // The most recently used connection; those on which the id was answered stay for other requests.
+        val index = idleConnections.indexOfLast { !it.mayRepeatAnswer(id) }
+        return if (index < 0) null else idleConnections.removeAt(index)
     }
 
     private fun addIdle(connection: EndpointConnection) {
@@ -173,7 +178,10 @@
 }
 
 /** Handle of one request in progress; after [cancel] its listener is not called again. */
-class EndpointSend internal constructor(internal val listener: EndpointAnswerListener) {
+class EndpointSend internal constructor(
+    internal val listener: EndpointAnswerListener,
+    internal val id: String? = null,
+) {
     internal var connection: EndpointConnection? = null
     internal var cancelled = false
         private set
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -144,8 +144,8 @@
         val next = EndpointRun(this, placement, now)
         run = next
         val headRequest = exchange.head.method == "HEAD"
-        next.send =
-            forwarder.connections.send(placement.address, encodeRequest(placement, remainingMillis), headRequest, next)
+        val bytes = encodeRequest(placement, remainingMillis)
+        next.send = forwarder.connections.send(placement.address, bytes, headRequest, next, id = request.id)
     }
 
     private fun encodeRequest(placement: Placement.Send, remainingMillis: Long): ByteBuf {
