Close an idle connection at its first byte, decoded or not

A repeated refusal that breaks off while its connection is idle emits nothing from the decoder, so the connection was reused. The next answer's head was appended to the part: 503 with X-Not-Executed and the id of the request that ran. Callers were told 503 for a request that ran.

RepeatedRefusalTest$CutInTwo failed before, for a part that arrived alone and for one in the same segment as the answer before it: "expected: <200> but was: <503>".

A handler before the decoder closes the connection when a byte arrives without a request; a connection whose decoder holds bytes after an answer is not kept.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -34,6 +34,22 @@
     private var answerStatus = 0
     private val answeredIds = AnsweredIds()
 
+    /** Returns whether the decoder holds bytes that it has not decoded yet; set with the decoder. */
+    var hasUndecodedBytes: () -> Boolean = { false }
+
+    /** Closes the connection at the first byte that arrives without a request, before the decoder buffers it. */
+    val idleGuard = object : ChannelInboundHandlerAdapter() {
+        override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+            if (send != null) {
+                ctx.fireChannelRead(message)
+                return
+            }
+            ReferenceCountUtil.release(message)
+            reusable = false
+            ctx.close()
+        }
+    }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
@@ -143,6 +159,7 @@
         if (content is LastHttpContent && !currentSend.cancelled && send === currentSend) {
             send = null
             recordAnswer(currentSend.id)
+            if (hasUndecodedBytes()) reusable = false
             // Returned to the idle pool before the listener runs, because it may send the next request immediately.
             val reuse = reusable && requestWritten && ctx.channel().isActive && reusableUntilNanos > System.nanoTime()
             if (reuse) onIdle(this) else ctx.close()
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -129,7 +129,7 @@
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
                     transport.setUnresponsiveTimeout(channel, settings.unresponsiveMillis)
-                    channel.pipeline().addLast(decoder(connection), connection)
+                    channel.pipeline().addLast(connection.idleGuard, decoder(connection), connection)
                 }
             })
             .connect(remote)
@@ -139,6 +139,10 @@
     private fun decoder(connection: EndpointConnection) = object : HttpResponseDecoder(
         HttpDecoderConfig().setMaxHeaderSize(settings.maxHeaderBytes),
     ) {
+        init {
+            connection.hasUndecodedBytes = { actualReadableBytes() > 0 }
+        }
+
         override fun isContentAlwaysEmpty(message: io.netty.handler.codec.http.HttpMessage): Boolean =
             connection.headRequest || super.isContentAlwaysEmpty(message)
     }
