Close connections on which a call without an id failed

An order that a replica accepted was read as refused: the 409 of an earlier call, written once more, was taken for its answer (RepeatedRefusalTest $CallsWithoutId: "expected: <202> but was: <409>").

A connection that carried anything but a success for a send without an id is not reused, neither to replicas nor to the store. The cost is one connection per failed call (409, 412 and 421 of orders; 404, 409 and 410 of the store).

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -168,10 +168,15 @@
         content.release()
     }
 
+    // An answer other than a success to a request without an id could be repeated as the answer to the next one.
     private fun recordAnswer(id: String?) {
-        if (id == null) return
-        answeredIds.add(id, success = answerStatus in SUCCESS)
-        if (answeredIds.isFull) reusable = false
+        val success = answerStatus in SUCCESS
+        if (id == null) {
+            if (!success) reusable = false
+        } else {
+            answeredIds.add(id, success)
+            if (answeredIds.isFull) reusable = false
+        }
     }
 
     // Data that belongs to no request can be unlimited, so its amount is bounded.
