Connect to a daemon again after an odd frame

A frame whose decoding failed with an exception other than the three that were expected ended the coroutine that keeps the connection to that daemon: no message reached it any more until a restart, while its queue filled.

The decoder throws NegativeArraySizeException for a string of negative length.

Every exception and stack overflow of the decoder is now a frame fault, and an error of a message's handler ends its connection, not the loop around it. The loop that accepts connections no longer reads the address of a closed socket.

--- a/wire/src/main/kotlin/io/camphordrum/wire/FrameCodec.kt
+++ b/wire/src/main/kotlin/io/camphordrum/wire/FrameCodec.kt
@@ -9,7 +9,6 @@
 import io.ktor.utils.io.writeInt
 import kotlinx.io.EOFException
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /** Reports an unusable frame; the connection that received it is closed. */
@@ -55,13 +54,15 @@
 
     fun decode(bytes: ByteArray): PeerMessage = try {
         cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
-    } catch (e: SerializationException) {
-        throw FrameException("expected a peer message, but the frame cannot be decoded: ${firstLine(e)}")
-    } catch (e: IllegalArgumentException) {
-        throw FrameException("expected a peer message, but the frame cannot be decoded: ${firstLine(e)}")
-    } catch (e: IndexOutOfBoundsException) {
-        throw FrameException("expected a peer message, but the frame cannot be decoded: ${firstLine(e)}")
+    } catch (e: Exception) {
+        // The decoder throws exceptions of several types, among them NegativeArraySizeException for an odd length.
+        throw undecodable(e)
+    } catch (e: StackOverflowError) {
+        throw undecodable(e)
     }
 
-    private fun firstLine(e: Exception): String = e.message?.lineSequence()?.first().orEmpty()
+    private fun undecodable(e: Throwable): FrameException {
+        val cause = (e.message ?: e.toString()).lineSequence().first()
+        return FrameException("expected a peer message, but the frame cannot be decoded: $cause")
+    }
 }
--- a/wire/src/main/kotlin/io/camphordrum/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/io/camphordrum/wire/PeerNetwork.kt
@@ -8,6 +8,7 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.toJavaAddress
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExecutorCoroutineDispatcher
 import kotlinx.coroutines.Job
@@ -125,7 +126,8 @@
                 continue
             }
             if (acceptedCount >= settings.maxPeers) {
-                events.onFault(socket.remoteAddress.toString(), "expected at most ${settings.maxPeers} connections")
+                // The address of a connection that its peer has closed cannot be read.
+                events.onFault(settings.host, "expected at most ${settings.maxPeers} connections")
                 socket.close()
             } else {
                 scope.launch { runAccepted(socket) }
@@ -136,7 +138,7 @@
     private suspend fun runAccepted(socket: Socket) {
         acceptedCount++
         try {
-            runConnection(socket, socket.remoteAddress.toString(), queue = null)
+            endAfterError(settings.host) { runConnection(socket, socket.remoteAddress.toString(), queue = null) }
         } finally {
             acceptedCount--
         }
@@ -156,12 +158,26 @@
                 events.onFault(address, "connect failed: ${e.message}")
                 null
             }
-            val hellosExchanged = socket != null && runConnection(socket, address, queue)
+            val hellosExchanged =
+                socket != null && endAfterError(address) { runConnection(socket, address, queue) } == true
             failures = if (hellosExchanged) 0 else failures + 1
             delay(backOff(failures))
         }
     }
 
+    // An error in the handler of a message ends the connection; it must not end the loop that connects again.
+    private suspend fun <T> endAfterError(remote: String, run: suspend () -> T): T? = try {
+        run()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        events.onFault(remote, "connection ended by an error: $e")
+        null
+    } catch (e: StackOverflowError) {
+        events.onFault(remote, "connection ended by an error: $e")
+        null
+    }
+
     /** Runs one connection until it ends, and returns whether hellos were exchanged. */
     private suspend fun runConnection(socket: Socket, remote: String, queue: PeerQueue?): Boolean {
         val hello = Hello(
