End answers without a length only on the endpoint's own orderly close

Callers saw an answer without a length as complete although the endpoint had not ended it: the daemon had closed the connection itself, a write had failed, or the endpoint had answered before it had received the whole request.

Cause: the HTTP decoder ends such an answer whenever its channel becomes inactive. A failed write closes the channel without exceptionCaught, and so does a close of our own; nothing told these ends from the endpoint's.

With ALLOW_HALF_CLOSURE the end of the peer's output is an event of its own (ChannelInputShutdownEvent). A handler in front of the decoder observes it, and errors, before the decoder reacts. onComplete now receives an AnswerEnd; it is CLOSED only after that event, without an error, and if the whole request was written. Any other end of an answer without a length is onBroken.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -25,11 +26,12 @@
     private var send: EndpointSend? = null
     private var requestWritten = false
     private var skippingAnswer = false
-    private var endedByClose = false
+    private var framed = true
     private var skippedBytes = 0
     private var skippedHeads = 0
     private var reusable = true
     private var error: String? = null
+    private var inputEnded = false
     private var reusableUntilNanos = 0L
     private var answerStatus = 0
     private val answeredIds = AnsweredIds()
@@ -37,18 +39,7 @@
     /** Returns whether the decoder holds bytes that it has not decoded yet; set with the decoder. */
     var hasUndecodedBytes: () -> Boolean = { false }
 
-    /** Closes the connection at the first byte that arrives without a request, before the decoder buffers it. */
-    val idleGuard = object : ChannelInboundHandlerAdapter() {
-        override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
-            if (send != null) {
-                ctx.fireChannelRead(message)
-                return
-            }
-            ReferenceCountUtil.release(message)
-            reusable = false
-            ctx.close()
-        }
-    }
+    private val isOpen: Boolean get() = reusable && !inputEnded && context?.channel()?.isActive == true
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
@@ -73,11 +64,46 @@
 
     /** Keeps the open connection for a later request. */
     fun release() {
-        reusableUntilNanos = System.nanoTime() + settings.idleMillis * NANOS_PER_MILLI
+        extendReuse(settings.idleMillis)
         onIdle(this)
     }
 
-    fun isUsable(now: Long): Boolean = reusable && context?.channel()?.isActive == true && now < reusableUntilNanos
+    /**
+     * Returns a handler that must precede the decoder.
+     *
+     * It closes the connection at the first byte that arrives without a request, before the decoder buffers it. And
+     * the decoder ends an answer without a length whenever the connection ends, also after a failed write or a close
+     * of this process; only the event that this handler observes shows that the endpoint ended it.
+     */
+    fun inputGuard() = object : ChannelInboundHandlerAdapter() {
+        override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+            if (send != null) {
+                ctx.fireChannelRead(message)
+                return
+            }
+            ReferenceCountUtil.release(message)
+            reusable = false
+            ctx.close()
+        }
+
+        override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+            if (event === ChannelInputShutdownEvent.INSTANCE) inputEnded = true
+            ctx.fireUserEventTriggered(event)
+        }
+
+        // Precedes the decoder's own reaction to the error, which may end the answer.
+        @Deprecated("Netty's callback for errors of a connection")
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            error = cause.message ?: cause.javaClass.simpleName
+            ctx.fireExceptionCaught(cause)
+        }
+    }
+
+    private fun extendReuse(millis: Long) {
+        reusableUntilNanos = System.nanoTime() + millis * NANOS_PER_MILLI
+    }
+
+    fun isUsable(now: Long): Boolean = isOpen && now < reusableUntilNanos
 
     /** Returns whether a repeated earlier answer on this connection could be taken for the answer to [id]. */
     fun mayRepeatAnswer(id: String?): Boolean = id != null && id in answeredIds
@@ -113,6 +139,12 @@
         if (!currentSend.cancelled) currentSend.listener.onBroken(error ?: "closed before the answer was complete")
     }
 
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        // The decoder has already passed on the rest of the answer.
+        if (event === ChannelInputShutdownEvent.INSTANCE) ctx.close()
+        ctx.fireUserEventTriggered(event)
+    }
+
     @Deprecated("Netty's callback for errors of a connection")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
         error = cause.message ?: cause.javaClass.simpleName
@@ -128,22 +160,22 @@
             countSkipped(ctx, currentSend, heads = 1)
             return
         }
-        val belongsToRequest =
-            currentSend.listener.onHead(AnswerHead(status, response.status().reasonPhrase(), response.headers()))
+        framed = headRequest ||
+            status in EMPTY_STATUSES ||
+            HttpUtil.isContentLengthSet(response) ||
+            HttpUtil.isTransferEncodingChunked(response)
+        val answerHead = AnswerHead(status, response.status().reasonPhrase(), response.headers())
+        val belongsToRequest = currentSend.listener.onHead(answerHead)
         if (currentSend.cancelled) {
             ctx.close()
             return
         }
         skippingAnswer = !belongsToRequest
         answerStatus = status
-        endedByClose = !headRequest &&
-            status !in EMPTY_STATUSES &&
-            !HttpUtil.isContentLengthSet(response) &&
-            !HttpUtil.isTransferEncodingChunked(response)
         if (!belongsToRequest) reusable = false
         if (!HttpUtil.isKeepAlive(response)) reusable = false
         val keepMillis = response.headers().get(KEEP_ALIVE)?.let(::keepAliveMillis) ?: settings.idleMillis
-        reusableUntilNanos = System.nanoTime() + keepMillis * NANOS_PER_MILLI
+        extendReuse(keepMillis)
     }
 
     private fun handleContent(ctx: ChannelHandlerContext, content: HttpContent) {
@@ -157,17 +189,32 @@
         val part = content.content()
         if (part.isReadable) currentSend.listener.onPart(part.retain())
         if (content is LastHttpContent && !currentSend.cancelled && send === currentSend) {
-            send = null
-            recordAnswer(currentSend.id)
-            if (hasUndecodedBytes()) reusable = false
-            // Returned to the idle pool before the listener runs, because it may send the next request immediately.
-            val reuse = reusable && requestWritten && ctx.channel().isActive && reusableUntilNanos > System.nanoTime()
-            if (reuse) onIdle(this) else ctx.close()
-            currentSend.listener.onComplete(endedByClose)
+            endAnswer(ctx, currentSend)
         }
         content.release()
     }
 
+    private fun endAnswer(ctx: ChannelHandlerContext, currentSend: EndpointSend) {
+        send = null
+        recordAnswer(currentSend.id)
+        if (hasUndecodedBytes()) reusable = false
+        // Returned to the idle pool before the listener runs, because it may send the next request immediately.
+        val reuse = isOpen && framed && requestWritten && reusableUntilNanos > System.nanoTime()
+        if (reuse) {
+            onIdle(this)
+        } else {
+            reusable = false
+            ctx.close()
+        }
+        when {
+            framed -> currentSend.listener.onComplete(AnswerEnd.FRAMED)
+            error != null -> currentSend.listener.onBroken(error!!)
+            !inputEnded -> currentSend.listener.onBroken("closed before the end of an answer without a length")
+            !requestWritten -> currentSend.listener.onBroken("ended before the whole request was received")
+            else -> currentSend.listener.onComplete(AnswerEnd.CLOSED)
+        }
+    }
+
     // An answer other than a success to a request without an id could be repeated as the answer to the next one.
     private fun recordAnswer(id: String?) {
         val success = answerStatus in SUCCESS
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -25,18 +25,26 @@
     /** Called with a part of the body; the listener releases it. */
     fun onPart(part: ByteBuf)
 
-    /**
-     * Called when the answer is complete.
-     *
-     * @param endedByClose whether the answer has neither a length nor chunks, so that only the end of its connection
-     *   ended it. An endpoint that crashes closes its connections in the same way.
-     */
-    fun onComplete(endedByClose: Boolean)
+    /** Called when the answer has ended; after [AnswerEnd.CLOSED] it may be only a part of what was meant. */
+    fun onComplete(end: AnswerEnd)
 
     /** Called when the connection failed or received an invalid answer; the request may have run. */
     fun onBroken(reason: String)
 }
 
+/** Describes what ended an answer. */
+enum class AnswerEnd {
+    /** Its length or its last chunk; the answer is whole. */
+    FRAMED,
+
+    /**
+     * The endpoint closed its connection in an orderly way after it had received the whole request.
+     *
+     * A process that crashes closes its connections in the same way.
+     */
+    CLOSED,
+}
+
 /** Opens, pools and reuses connections to endpoints; each carries one request at a time. */
 class EndpointConnections(
     private val loop: EventLoop,
@@ -126,10 +134,12 @@
             .channel(transport.clientChannel)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectMillis)
             .option(ChannelOption.TCP_NODELAY, true)
+            // Makes the peer's orderly end an event of its own, distinct from errors and closes of this process.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
                     transport.setUnresponsiveTimeout(channel, settings.unresponsiveMillis)
-                    channel.pipeline().addLast(connection.idleGuard, decoder(connection), connection)
+                    channel.pipeline().addLast(connection.inputGuard(), decoder(connection), connection)
                 }
             })
             .connect(remote)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -94,15 +94,15 @@
         stream?.let { relay(first, it, part) } ?: buffer(first, part)
     }
 
-    override fun onComplete(endedByClose: Boolean) {
+    override fun onComplete(end: AnswerEnd) {
         if (closed) return
         when (classification) {
             AnswerClassification.NOT_RUN, AnswerClassification.NOT_HERE -> handleTurnedAway()
             AnswerClassification.PROPER -> {
-                val fault = stream?.endFault(eventNeeded = continues || endedByClose)
+                val fault = stream?.endFault(eventNeeded = continues || end == AnswerEnd.CLOSED)
                 when {
                     fault != null -> onBroken(fault)
-                    endedByClose -> completeUnlessCrashed()
+                    end == AnswerEnd.CLOSED -> completeUnlessCrashed()
                     else -> {
                         if (continues) logEnd("framed")
                         completeAnswer()
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Transport.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Transport.kt
@@ -40,20 +40,20 @@
 
     companion object {
         /** Returns the preferred implementation that this system supports. */
-        fun best(): Transport = if (Epoll.isAvailable()) {
-            Transport(
-                EpollServerSocketChannel::class.java,
-                EpollSocketChannel::class.java,
-                { EpollIoHandler.newFactory() },
-                epoll = true,
-            )
-        } else {
-            Transport(
-                NioServerSocketChannel::class.java,
-                NioSocketChannel::class.java,
-                { NioIoHandler.newFactory() },
-                epoll = false,
-            )
-        }
+        fun best(): Transport = if (Epoll.isAvailable()) epoll() else nio()
+
+        internal fun epoll() = Transport(
+            EpollServerSocketChannel::class.java,
+            EpollSocketChannel::class.java,
+            { EpollIoHandler.newFactory() },
+            epoll = true,
+        )
+
+        internal fun nio() = Transport(
+            NioServerSocketChannel::class.java,
+            NioSocketChannel::class.java,
+            { NioIoHandler.newFactory() },
+            epoll = false,
+        )
     }
 }
