Require proof of life before an answer without a length counts as whole

Callers saw answers as complete that a crash had cut: with neither a length nor chunks, an answer of a process that crashes ends like any other.

Cause: such an answer was broken off only if a later connection to the endpoint was refused and the endpoint was not leaving. A restart, another endpoint at the address, a lost machine or link, and an endpoint that is killed while it leaves all passed as complete.

A connection that was open before the answer's end, and on which a request sent afterwards is answered, leads to the same start of the process: a restart, or another endpoint at the address, ends all earlier connections. EndpointWitnesses keeps such a connection from the head of the answer on (the longest idle one of the pool, else a new one), one for all such answers of an endpoint, and asks on it before the endpoint's idle timeout and after each end. The log line answer_end has the fields provedWhole and why instead of probe.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServedService.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServedService.kt
@@ -6,12 +6,14 @@
  * @property connectionLimit connections that one endpoint accepts over all daemons.
  * @property coldRequestsPerSecond request rate that a cold endpoint can handle; 0 means no limit for cold endpoints.
  * @property engine limits of the engines; null for plain services.
+ * @property healthCheckPath target of a GET request that asks a plain endpoint whether it is alive; null if unknown.
  */
 public data class ServedService(
     public val name: String,
     public val connectionLimit: Int,
     public val coldRequestsPerSecond: Double,
     public val engine: EngineLimits? = null,
+    public val healthCheckPath: String? = null,
 )
 
 /**
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
@@ -1,6 +1,8 @@
 package io.camphordrum.daemon.edge
 
+import io.camphordrum.core.EndpointId
 import io.camphordrum.core.serving.Placement
+import io.camphordrum.core.serving.ServedService
 import io.camphordrum.core.serving.Work
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
@@ -8,8 +10,12 @@
 /** Holds the head of a caller's request as received; [target] is not percent-decoded. */
 data class CallerHead(val method: String, val target: String, val headers: HttpHeaders)
 
-/** Holds the head of an endpoint's answer. */
-data class AnswerHead(val status: Int, val reason: String, val headers: HttpHeaders) {
+/**
+ * Holds the head of an endpoint's answer.
+ *
+ * @property framed whether a length or chunks show where the answer ends; otherwise its connection ends it.
+ */
+data class AnswerHead(val status: Int, val reason: String, val headers: HttpHeaders, val framed: Boolean = true) {
     /** Returns whether the body is server-sent events, as is assumed of an answer without a type. */
     internal fun isEventStream(): Boolean {
         val type = headers.get(HttpHeaderNames.CONTENT_TYPE) ?: return true
@@ -122,6 +128,16 @@
     /** Classifies the head of an answer to [request]. */
     fun classify(answer: AnswerHead, request: CallerRequest): AnswerClassification
 
+    /**
+     * Returns the request that asks [endpoint] of [service] whether it is alive, or null if there is none.
+     *
+     * @param waitMillis time within which the endpoint must answer, in milliseconds.
+     */
+    fun lifeCheck(endpoint: EndpointId, service: ServedService, waitMillis: Long): CallerHead?
+
+    /** Returns whether [answer] to a life check comes from [endpoint]; null if it answers another request. */
+    fun provesLife(answer: AnswerHead, endpoint: EndpointId): Boolean?
+
     /** Returns the availability that an answer announces for its endpoint, independently of its request. */
     fun availability(answer: AnswerHead): EndpointAvailability
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -39,7 +39,11 @@
     /** Returns whether the decoder holds bytes that it has not decoded yet; set with the decoder. */
     var hasUndecodedBytes: () -> Boolean = { false }
 
-    private val isOpen: Boolean get() = reusable && !inputEnded && context?.channel()?.isActive == true
+    /** Whether the connection is kept out of the pool between two requests. */
+    var reserved = false
+
+    /** Whether the connection can carry a request now, even if the endpoint may be about to close it. */
+    val isOpen: Boolean get() = reusable && !inputEnded && context?.channel()?.isActive == true
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
@@ -68,6 +72,15 @@
         onIdle(this)
     }
 
+    /** Keeps the open connection out of the pool. */
+    fun reserve() {
+        reserved = true
+        extendReuse(settings.idleMillis)
+    }
+
+    /** Returns for how long the endpoint keeps the connection if it stays idle. */
+    fun reusableNanos(now: Long): Long = reusableUntilNanos - now
+
     /**
      * Returns a handler that must precede the decoder.
      *
@@ -164,7 +177,7 @@
             status in EMPTY_STATUSES ||
             HttpUtil.isContentLengthSet(response) ||
             HttpUtil.isTransferEncodingChunked(response)
-        val answerHead = AnswerHead(status, response.status().reasonPhrase(), response.headers())
+        val answerHead = AnswerHead(status, response.status().reasonPhrase(), response.headers(), framed)
         val belongsToRequest = currentSend.listener.onHead(answerHead)
         if (currentSend.cancelled) {
             ctx.close()
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -123,6 +123,32 @@
         }
     }
 
+    /** Takes the least recently used idle connection to [address] out of the pool, or returns null. */
+    internal fun reserveIdle(address: String): EndpointConnection? {
+        val idleConnections = idleByAddress[address] ?: return null
+        val now = System.nanoTime()
+        while (idleConnections.isNotEmpty()) {
+            val connection = idleConnections.removeFirst()
+            if (connection.isUsable(now)) return connection.also { it.reserved = true }
+            connection.close()
+        }
+        return null
+    }
+
+    /** Opens a connection to [address] that is not returned to the pool before [returnReserved]. */
+    internal fun openReserved(address: String, onEnd: (EndpointConnection?, Throwable?) -> Unit) {
+        open(address) { connection, error ->
+            connection?.reserve()
+            onEnd(connection, error)
+        }
+    }
+
+    /** Returns a reserved [connection] to the pool if it can carry another request, else closes it. */
+    internal fun returnReserved(connection: EndpointConnection) {
+        connection.reserved = false
+        if (connection.isUsable(System.nanoTime())) addIdle(connection) else connection.close()
+    }
+
     /** Opens a connection to [address]; [onEnd] receives it, or the reason why it could not be opened. */
     private fun open(address: String, onEnd: (EndpointConnection?, Throwable?) -> Unit) {
         opened++
@@ -171,6 +197,7 @@
     }
 
     private fun addIdle(connection: EndpointConnection) {
+        if (connection.reserved) return
         idleByAddress.getOrPut(connection.address) { ArrayDeque() }.addLast(connection)
     }
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -1,7 +1,6 @@
 package io.camphordrum.daemon.edge
 
 import io.camphordrum.core.serving.Placement
-import io.camphordrum.core.serving.ProbeResult
 import io.camphordrum.core.serving.Repetition
 import io.camphordrum.core.serving.RunEnd
 import io.netty.buffer.ByteBuf
@@ -30,6 +29,7 @@
     private var unwantedBytes = 0
     private var firstPartNanos: Long? = null
     private var provedSound = false
+    private var witness: EndpointWitnesses.Lease? = null
 
     // Whether this run continues an answer that an earlier run began.
     private val continues = exchange.headWritten
@@ -78,6 +78,8 @@
             recordEnd(RunEnd.FAILED)
             send.cancel()
             forwarding.retryOrFail(endpoint, mayHaveRun = true, "status ${head.status}")
+        } else if (classified == AnswerClassification.PROPER && !head.framed) {
+            witness = forwarder.observe(work, placement)
         }
         return true
     }
@@ -102,7 +104,7 @@
                 val fault = stream?.endFault(eventNeeded = continues || end == AnswerEnd.CLOSED)
                 when {
                     fault != null -> onBroken(fault)
-                    end == AnswerEnd.CLOSED -> completeUnlessCrashed()
+                    end == AnswerEnd.CLOSED -> completeIfWhole()
                     else -> {
                         if (continues) logEnd("framed")
                         completeAnswer()
@@ -114,12 +116,17 @@
     }
 
     // The connections of an endpoint that crashes end in the same way as an answer without a length.
-    private fun completeUnlessCrashed() {
-        forwarder.connections.probe(placement.address) { result ->
-            if (closed) return@probe
-            logEnd("closed", result)
-            val crashed = result == ProbeResult.REFUSED && !core.isLeaving(endpoint)
-            if (crashed) onBroken("the endpoint ended with an answer without a length") else completeAnswer()
+    private fun completeIfWhole() {
+        val lease = witness
+        if (lease == null) endUnframed(LifeProof.Unproved("no way to ask the endpoint")) else lease.prove(::endUnframed)
+    }
+
+    private fun endUnframed(proof: LifeProof) {
+        if (closed) return
+        logEnd("closed", proof)
+        when (proof) {
+            LifeProof.Alive -> completeAnswer()
+            is LifeProof.Unproved -> onBroken("the end of an answer without a length is not proved: ${proof.reason}")
         }
     }
 
@@ -136,14 +143,15 @@
     }
 
     // Ends that decide whether the caller sees a complete answer, and that are rare enough to be logged each time.
-    private fun logEnd(framing: String, probe: ProbeResult? = null) {
+    private fun logEnd(framing: String, proof: LifeProof? = null) {
         forwarder.metrics.answerEnds.labelValues(framing, if (continues) "continued" else "first").inc()
         val fields = mapOf(
             "status" to head?.status,
             "framing" to framing,
             "continues" to continues,
             "lastEventId" to events?.lastId,
-            "probe" to probe?.name?.lowercase(),
+            "provedWhole" to (proof !is LifeProof.Unproved),
+            "why" to (proof as? LifeProof.Unproved)?.reason,
         )
         EdgeLog.write("answer_end", forwarding.fields() + fields)
     }
@@ -267,6 +275,7 @@
     private fun recordEnd(end: RunEnd) {
         if (closed) return
         closed = true
+        witness?.release()
         forwarder.metrics.sends.labelValues(end.name.lowercase()).inc()
         core.recordRunEnd(forwarding.now(), work, endpoint, end)
         if (end != RunEnd.COMPLETE) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -2,6 +2,7 @@
 
 import io.camphordrum.core.Clock
 import io.camphordrum.core.EndpointId
+import io.camphordrum.core.serving.Placement
 import io.camphordrum.core.serving.RefuseReason
 import io.camphordrum.core.serving.ServingConfig
 import io.camphordrum.core.serving.ServingCore
@@ -28,6 +29,7 @@
     private val recentParts = RecentSet(MAX_PROMPT_PARTS)
 
     private val open = LinkedHashSet<Forwarding>()
+    private val witnesses = EndpointWitnesses(connections, loop)
 
     /** Requests without a final answer. */
     @Volatile
@@ -46,6 +48,18 @@
         }
     }
 
+    /** Observes the endpoint of [placement] until the end of its answer; null if it cannot be asked. */
+    internal fun observe(work: Work, placement: Placement.Send): EndpointWitnesses.Lease? {
+        val service = core.config?.services?.get(work.service) ?: return null
+        fun request() = protocol.lifeCheck(placement.endpoint, service, LIFE_CHECK_MILLIS)
+        if (request() == null) return null
+        val check = LifeCheck(
+            { request()!!.let { requestBytes(it, it.headers, Unpooled.EMPTY_BUFFER) } },
+            { protocol.provesLife(it, placement.endpoint) },
+        )
+        return witnesses.observe(placement.address, placement.endpoint.name, check)
+    }
+
     internal fun opened(forwarding: Forwarding) {
         open += forwarding
         openRequests = open.size
@@ -179,6 +193,9 @@
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
         const val NO_CONFIG_RETRY_MILLIS = 500L
+
+        // Below the time for a proof, so that a full endpoint refuses in time; a refusal also shows that it is alive.
+        const val LIFE_CHECK_MILLIS = 300L
         const val MAX_PROMPT_PARTS = 8_192
         const val MAX_LOGGED_CHARS = 40
     }
