Complete a stream that ends with a comment

What callers saw: a sound stream broken off, because a comment after its last event counted as the beginning of another one. Change: only the lines of an event make it incomplete, and the comments are passed on at the end.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EventStream.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EventStream.kt
@@ -87,12 +87,12 @@
      * @param eventNeeded whether the end of a run without any event proves nothing.
      */
     fun endFault(eventNeeded: Boolean): String? = when {
-        lineBytes > 0 || inEvent || awaitsLineFeed -> "the stream ended inside an event"
+        lineBytes > 0 || (inEvent && hasField) || awaitsLineFeed -> "the stream ended inside an event"
         eventNeeded && runEvents == 0 -> "the stream ended without an event"
         else -> null
     }
 
-    /** Returns the comments and blank lines of a run without events; the caller releases them. */
+    /** Returns the comments and blank lines after the last event; the caller releases them. */
     fun remainder(): ByteBuf = incomplete.also { incomplete = Unpooled.EMPTY_BUFFER }
 
     /** Discards the bytes of an incomplete event. */
