Accept as proof of life only a connection that leads to the same start

What callers saw: a cut answer without a length that looks complete. The connection of the proof was opened at the head and could be accepted by a restarted endpoint of the same name when the head was read late, as after a freeze. Its check could be answered by anything, and afterwards the connection went back to the pool, where a repeated answer to the check became the answer to an order (200 in place of 409). Change: a connection that is still being opened at the end counts only if the request was sent within 500 ms, by the monotonic and the wall clock; a healthy plain endpoint must name itself; a connection that carried a check is closed; one that has ended is not shared with further answers.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
@@ -136,7 +136,7 @@
     fun lifeCheck(endpoint: EndpointId, service: ServedService, waitMillis: Long): CallerHead?
 
     /** Returns whether [answer] to a life check comes from [endpoint]; null if it answers another request. */
-    fun provesLife(answer: AnswerHead, endpoint: EndpointId): Boolean?
+    fun provesLife(answer: AnswerHead, endpoint: EndpointId, service: ServedService): Boolean?
 
     /** Returns the availability that an answer announces for its endpoint, independently of its request. */
     fun availability(answer: AnswerHead): EndpointAvailability
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -14,6 +14,7 @@
     private val sentNanos: Long,
 ) : EndpointAnswerListener {
     private val forwarder = forwarding.forwarder
+    private val sentEpochMillis = forwarder.clock.epochMillis()
     private val core = forwarder.core
     private val exchange = forwarding.exchange
     private val work = forwarding.work
@@ -118,7 +119,18 @@
     // The connections of an endpoint that crashes end in the same way as an answer without a length.
     private fun completeIfWhole() {
         val lease = witness
-        if (lease == null) endUnframed(LifeProof.Unproved("no way to ask the endpoint")) else lease.prove(::endUnframed)
+        if (lease == null) {
+            endUnframed(LifeProof.Unproved("no way to ask the endpoint"))
+        } else {
+            lease.prove(wasSentJustNow(), ::endUnframed)
+        }
+    }
+
+    // The monotonic clock stands still while the machine is suspended, and the wall clock may jump.
+    private fun wasSentJustNow(): Boolean {
+        val monotonicMillis = (forwarding.now() - sentNanos) / NANOS_PER_MILLI
+        val wallMillis = forwarder.clock.epochMillis() - sentEpochMillis
+        return monotonicMillis <= MIN_RESTART_MILLIS && wallMillis in 0..MIN_RESTART_MILLIS
     }
 
     private fun endUnframed(proof: LifeProof) {
@@ -262,6 +274,8 @@
             )
         }
         if (exchange.headWritten) {
+            // Comments after the last event.
+            stream?.remainder()?.let(exchange::write)
             buffered?.let(exchange::write)
             exchange.endAnswer()
         } else {
@@ -293,6 +307,9 @@
         // An endpoint that crashes on a prompt does so when the answer begins.
         const val WELL_UNDER_WAY_NANOS = 250_000_000L
 
+        // Time that an endpoint needs at least between its end and the first connection that it accepts again.
+        const val MIN_RESTART_MILLIS = 500L
+
         // Bodies of refusals are short texts; a longer one is not read to its end.
         const val MAX_UNWANTED_BYTES = 64 * 1024
     }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointWitness.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointWitness.kt
@@ -43,7 +43,7 @@
      */
     fun observe(address: String, endpoint: String, check: LifeCheck): Lease {
         val key = address to endpoint
-        val witness = witnesses[key]?.takeIf { it.lossReason == null }
+        val witness = witnesses[key]?.takeIf { it.isUsable }
             ?: EndpointWitness(address, check, connections, loop).also {
                 witnesses[key] = it
                 it.start()
@@ -63,8 +63,11 @@
         /**
          * Asks the endpoint after the end of its answer; [onEnd] runs once, within [PROOF_MILLIS], unless the lease is
          * released first.
+         *
+         * @param sentJustNow whether the request was sent so recently that the endpoint cannot have restarted since.
+         *   Otherwise a connection that is still being opened at the end may lead to a later start.
          */
-        fun prove(onEnd: (LifeProof) -> Unit) {
+        fun prove(sentJustNow: Boolean, onEnd: (LifeProof) -> Unit) {
             var ended = false
             val end: (LifeProof) -> Unit = { proof ->
                 if (!ended && !released) {
@@ -78,7 +81,11 @@
                 PROOF_MILLIS,
                 TimeUnit.MILLISECONDS,
             )
-            witness.prove(end)
+            if (witness.isConnected || sentJustNow) {
+                witness.prove(end)
+            } else {
+                end(LifeProof.Unproved(witness.lossReason ?: "no other connection was open at the end"))
+            }
         }
 
         /** Ends the observation; a proof in progress is dropped. */
@@ -111,7 +118,13 @@
     var lossReason: String? = null
         private set
 
+    val isConnected: Boolean get() = connection != null
+
+    /** Whether a proof is possible; false also if the connection has ended without a request on it. */
+    val isUsable: Boolean get() = lossReason == null && connection?.isOpen != false
+
     private var connection: EndpointConnection? = null
+    private var checkSent = false
     private var checkInProgress = false
     private var finished = false
     private var waiting = ArrayList<(LifeProof) -> Unit>()
@@ -133,12 +146,13 @@
         if (connection != null && !checkInProgress) sendCheck()
     }
 
-    /** Returns the connection to the pool, after the request in progress if there is one. */
+    /** Gives up the connection, after the request in progress if there is one. */
     fun finish() {
         finished = true
         refresh?.cancel(false)
         if (checkInProgress) return
-        connection?.let(connections::returnReserved)
+        // The answer to a check has no id, so a repetition of it could be taken for the answer to a later call.
+        connection?.let { if (checkSent) it.close() else connections.returnReserved(it) }
         connection = null
     }
 
@@ -176,6 +190,7 @@
             return
         }
         checkInProgress = true
+        checkSent = true
         val asking = waiting
         waiting = ArrayList()
         val answer = CheckAnswer(asking)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -55,7 +55,7 @@
         if (request() == null) return null
         val check = LifeCheck(
             { request()!!.let { requestBytes(it, it.headers, Unpooled.EMPTY_BUFFER) } },
-            { protocol.provesLife(it, placement.endpoint) },
+            { protocol.provesLife(it, placement.endpoint, service) },
         )
         return witnesses.observe(placement.address, placement.endpoint.name, check)
     }
