--- a/daemon/src/main/kotlin/io/camphordrum/daemon/ObjectStore.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/ObjectStore.kt
@@ -49,8 +49,17 @@
 
 /** Represents the result of a watch. */
 sealed interface WatchResult {
-    /** Names and versions of the changed objects; empty after a timeout. */
-    data class Changed(val versions: Map<String, Long>) : WatchResult
+    /**
+     * Names and versions of the changed objects; empty after a timeout.
+     *
+     * @property version greatest version that could be read, also of an object that is left out, or 0.
+     * @property oddCount number of objects left out because they cannot be read.
+     */
+    data class Changed(
+        val versions: Map<String, Long>,
+        val version: Long = versions.values.maxOrNull() ?: 0,
+        val oddCount: Int = 0,
+    ) : WatchResult
 
     /** The platform returned no usable response. */
     data class Unavailable(val reason: String) : WatchResult
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Watch.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Watch.kt
@@ -33,9 +33,10 @@
         polling = false
         when (result) {
             is WatchResult.Changed -> {
-                if (result.versions.isEmpty()) return
-                version = maxOf(version, result.versions.values.max())
-                onChange(result.versions.keys)
+                // The platform returns at once with an object that the watch cannot move past.
+                if (result.oddCount > 0 && result.version <= version) earliestPollNanos = nextRetryNanos()
+                version = maxOf(version, result.version)
+                if (result.versions.isNotEmpty()) onChange(result.versions.keys)
             }
             is WatchResult.Unavailable -> earliestPollNanos = nextRetryNanos()
         }
