Bound durations in messages of other daemons

A message with a huge or negative duration would have kept a limit in force that no answer lifts, kept a prompt part suspected despite sound answers, or counted a request as an independent trial. Waits for loads, turns and permits were computed in the same way.

Cause: eight places multiplied milliseconds from messages to nanoseconds without a bound, so that the product overflowed or had the wrong sign.

Evidence: before the change PeerDurationTest failed with a limit count of 1 instead of 0, a suspicion instead of none, and a chain of 2 instead of 1.

Waits are covered by the test of the function only, not by a test of each message.

Measured: PeerDurationTest, AnnouncedLimitTest, TurnQueueTest, TwoDaemonsTest, ServingCoreTest and PeerTableTest pass.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/AdapterManager.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/AdapterManager.kt
@@ -53,7 +53,7 @@
     val hasReport: Boolean get() = base != null
 
     fun addRequest(now: Long, daemon: String, ask: ServingMessage.LoadAsk) {
-        val until = now + ask.waitMillis * OrderRights.NANOS_PER_MILLI
+        val until = now + peerDurationNanos(ask.waitMillis)
         val existing = loadRequests[ask.adapter]
         if (existing == null) {
             loadRequests[ask.adapter] = LoadRequest(ask.version, mutableSetOf(daemon), until)
--- a/core/src/main/kotlin/io/camphordrum/core/serving/CrashEvidence.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/CrashEvidence.kt
@@ -36,7 +36,7 @@
 
     /** Merges [crash], which may be known in part; returns whether it says anything new. */
     fun add(now: Long, crash: EndpointCrash): Boolean {
-        val atNanos = now - crash.ageMillis * OrderRights.NANOS_PER_MILLI
+        val atNanos = now - peerDurationNanos(crash.ageMillis)
         val key = crash.endpoint to crash.startedEpochMillis
         val known = crashes[key]
         val merged = known ?: Crash(crash.endpoint, crash.startedEpochMillis, atNanos, now).also {
@@ -168,8 +168,7 @@
         var chain = 0
         var lastNanos = Long.MIN_VALUE
         for (crash in found) {
-            val sentNanos =
-                crash.atNanos - suspects(crash, part).minOf { it.inFlightMillis } * OrderRights.NANOS_PER_MILLI
+            val sentNanos = crash.atNanos - peerDurationNanos(suspects(crash, part).minOf { it.inFlightMillis })
             if (sentNanos <= lastNanos) continue
             chain++
             lastNanos = crash.atNanos
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointLimits.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointLimits.kt
@@ -18,7 +18,7 @@
         for (report in reports) {
             val state = registry.get(EndpointId(report.endpoint)) ?: continue
             if (state.record.startedEpochMillis != report.startedEpochMillis) continue
-            val atNanos = now - report.ageMillis * OrderRights.NANOS_PER_MILLI
+            val atNanos = now - peerDurationNanos(report.ageMillis)
             if (state.announcedLimit.recordReported(atNanos, report.perSecond)) {
                 logChange(state.id, report.perSecond, "report")
             }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
@@ -37,7 +37,7 @@
         val from = notice.sender
         if (peers.receive(now, notice)) meter.recordPeerCharges(now, from, notice.sequence, notice.charged)
         for (relay in notice.relayed) {
-            val receivedNanos = now - relay.ageMillis * OrderRights.NANOS_PER_MILLI
+            val receivedNanos = now - peerDurationNanos(relay.ageMillis)
             if (peers.recordCharges(receivedNanos, relay.member, relay.sequence, relay.charged)) {
                 meter.recordPeerCharges(now, relay.member, relay.sequence, relay.charged)
             }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/PermitScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PermitScheduler.kt
@@ -82,7 +82,7 @@
 
     private fun refuse(now: Long, endpoint: EndpointId, id: String, reason: String, waitMillis: Long, from: String?) {
         val state = registry.get(endpoint) ?: return
-        state.atLimitUntilNanos = now + waitMillis * OrderRights.NANOS_PER_MILLI
+        state.atLimitUntilNanos = now + peerDurationNanos(waitMillis)
         val fields = mapOf(
             "id" to id,
             "endpoint" to endpoint.name,
--- a/core/src/main/kotlin/io/camphordrum/core/serving/PromptGuard.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PromptGuard.kt
@@ -123,7 +123,7 @@
 
     internal fun receive(now: Long, report: PromptReport) {
         for (run in report.cleanRuns) {
-            val begunNanos = now - run.ageMillis * OrderRights.NANOS_PER_MILLI
+            val begunNanos = now - peerDurationNanos(run.ageMillis)
             if (evidence.addClean(now, run.part, run.id, begunNanos)) recordNews(now, own = false)
         }
         for (crash in report.crashes) addCrash(now, crash, own = false)
--- a/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
@@ -36,7 +36,7 @@
     fun receiveTurnAsk(now: Long, from: String, ask: ServingMessage.TurnAsk) {
         val id = EndpointId(ask.endpoint)
         val queue = if (owns(id)) queues.getOrPut(id) { createQueue(id) } else null
-        val untilNanos = now + ask.waitMillis * OrderRights.NANOS_PER_MILLI
+        val untilNanos = now + peerDurationNanos(ask.waitMillis)
         val request = TurnQueue.TurnRequest(from, ask.id, ask.tokens, ask.priority, untilNanos)
         if (queue == null || !queue.add(now, request)) {
             sendTurnEnd(from, ServingMessage.TurnEnd(ask.endpoint, ask.id, false, queue?.queuedTokens ?: 0))
