--- a/review/stand/Store.java
+++ b/review/stand/Store.java
@@ -23,6 +23,9 @@
     private final List<Event> events = new ArrayList<>();
     private long revision = 100;
 
+    // The history up to this revision is forgotten; a rise cuts the watches that wait.
+    private long forgotten;
+
     /** Milliseconds that an answer takes. */
     volatile long answerMillis = 4;
 
@@ -113,6 +116,7 @@
                     return;
                 }
                 String[] result = answer(call);
+                if (result == null) return;
                 Thread.sleep(answerMillis);
                 byte[] body = result[1].getBytes(StandardCharsets.UTF_8);
                 String head = "HTTP/1.1 " + result[0] + "\r\ncontent-type: application/json\r\ncontent-length: "
@@ -187,7 +191,16 @@
         return result(create ? "201 Created" : "200 OK", kind(kind).get(name));
     }
 
+    /** Forgets the history; watches that wait are cut. */
+    synchronized void compact() {
+        events.clear();
+        forgotten = revision;
+        notifyAll();
+    }
+
     private synchronized String[] watch(String kind, long from, long waitMillis) throws InterruptedException {
+        if (from < forgotten) return result("410 Gone", Json.of());
+        long before = forgotten;
         long until = System.nanoTime() + waitMillis * 1_000_000;
         while (true) {
             List<Object> found = new ArrayList<>();
@@ -196,6 +209,7 @@
                     found.add(Json.of("tombstone", event.tombstone, "object", event.object));
                 }
             }
+            if (forgotten > before) return null;
             long left = (until - System.nanoTime()) / 1_000_000;
             if (!found.isEmpty() || left <= 0) return result("200 OK", Json.of("events", found, "at", revision));
             wait(left);
