--- a/review/1/SilentStore.java
+++ b/review/1/SilentStore.java
@@ -32,7 +32,7 @@
         List<Daemon> daemons = new ArrayList<>();
         List<Replica> orders = new ArrayList<>();
         for (String zone : List.of("tartu-a", "tartu-b", "elva-c")) {
-            new Engine("m-" + zone, zone, store, record).register(store);
+            for (int i = 1; i <= 3; i++) new Engine("m" + i + "-" + zone, zone, store, record).register(store);
             Replica replica = new Replica("o-" + zone, Config.PLAIN, zone, 6, record) {
                 @Override
                 void run(Http.Message request, Socket socket, OutputStream out) throws Exception {
@@ -54,7 +54,7 @@
         for (Daemon daemon : daemons) awaitReady(daemon);
         for (Daemon daemon : daemons) {
             for (int i = 0; i < 2; i++) order(daemon, daemon.name + "-o" + i);
-            draft(daemon, daemon.name + "-d");
+            for (int i = 0; i < 3; i++) draft(daemon, daemon.name + "-d" + i, 300 * i);
         }
         Thread.sleep(10_000);
         if (trouble) {
@@ -93,13 +93,13 @@
     }
 
     /** Asks for drafts with one adapter after the other, so that the replicas hold others all the time. */
-    private void draft(Daemon daemon, String name) {
+    private void draft(Daemon daemon, String name, int first) {
         Threads.start(name, () -> {
             for (int i = 0; !over; i++) {
                 String id = name + "-" + i;
-                ask(daemon, id, "/drafts/new", Map.of("X-Model", Config.MODEL + "/a" + (1 + i % 40), "X-Token-Counts",
+                ask(daemon, id, "/drafts/new", Map.of("X-Model", Config.MODEL + "/a" + (first + 1 + i % 300), "X-Token-Counts",
                     "200,20", "X-Prompt-Prefix", "5c1e07a2:150," + Integer.toHexString(id.hashCode()) + ":50"), 2_900);
-                Thread.sleep(150);
+                Thread.sleep(50);
             }
         });
     }
--- a/review/stand/Replica.java
+++ b/review/stand/Replica.java
@@ -49,8 +49,10 @@
     void register(Store store) {
         store.put("servers", id, entry());
         Threads.start("beat " + id, () -> {
+            // Replicas start at different times, so their heartbeats do not come together.
+            Thread.sleep(Math.floorMod(id.hashCode() * 97, 1_200));
             while (!closed) {
-                Thread.sleep(1200);
+                Thread.sleep(1_200);
                 if (!closed && !store.silent) store.put("servers", id, entry());
             }
         });
