--- a/review/stand/Daemon.java
+++ b/review/stand/Daemon.java
@@ -74,7 +74,7 @@
             socket.getOutputStream().write("GET /api/readiness HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
             Http.Message answer = Http.head(Http.buffered(socket.getInputStream()));
             return answer != null && answer.status() == 200;
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             return false;
         }
     }
--- a/review/stand/Store.java
+++ b/review/stand/Store.java
@@ -48,7 +48,9 @@
     /** Writes an object as the operator or a replica does. */
     synchronized long put(String kind, String name, Map<String, Object> specification) {
         Map<String, Object> old = kind(kind).get(name);
-        if (old != null && withoutSequence(specification).equals(withoutSequence(old.get("specification")))) return revision;
+        if (old != null && withoutSequence(specification).equals(withoutSequence(old.get("specification")))) {
+            return revision;
+        }
         return store(kind, name, specification, old);
     }
 
