--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
@@ -27,13 +27,23 @@
      * Replaces all records and returns the removed endpoints.
      *
      * @param afterGap whether records may have expired while the store was unreachable.
+     * @param reachableSinceNanos since when the store has been reachable again; the grace period starts there.
      */
-    fun replace(now: Long, records: Collection<EndpointRecord>, afterGap: Boolean): List<EndpointId> {
+    fun replace(
+        now: Long,
+        records: Collection<EndpointRecord>,
+        afterGap: Boolean,
+        reachableSinceNanos: Long = now,
+    ): List<EndpointId> {
         val registeredIds = records.mapTo(HashSet()) { it.id }
         val removed = ArrayList<EndpointId>()
         for (state in states.values) {
             if (state.id in registeredIds) continue
-            if (afterGap) state.missingSinceNanos = state.missingSinceNanos ?: now else removed += state.id
+            if (afterGap && now - reachableSinceNanos <= MISSING_GRACE_NANOS) {
+                state.missingSinceNanos = state.missingSinceNanos ?: reachableSinceNanos
+            } else {
+                removed += state.id
+            }
         }
         removed.forEach(::remove)
         records.forEach { put(now, it) }
@@ -63,8 +73,8 @@
         }
     }
 
-    fun markMissing(now: Long, id: EndpointId) {
-        states[id]?.let { it.missingSinceNanos = it.missingSinceNanos ?: now }
+    fun markMissing(reachableSinceNanos: Long, id: EndpointId) {
+        states[id]?.let { it.missingSinceNanos = it.missingSinceNanos ?: reachableSinceNanos }
     }
 
     fun remove(id: EndpointId) {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -73,16 +73,31 @@
         return true
     }
 
-    /** Replaces all registered endpoints; [afterGap] means that the store was unreachable before. */
-    public fun replaceEndpoints(now: Long, records: Collection<EndpointRecord>, afterGap: Boolean) {
-        registry.replace(now, records, afterGap).forEach(::onEndpointRemoved)
+    /**
+     * Replaces all registered endpoints.
+     *
+     * @param afterGap whether the store, or only its answers about endpoints, could not be read before.
+     * @param reachableSinceNanos since when the store has been reachable; records that expired before are back soon
+     *   after it.
+     */
+    public fun replaceEndpoints(
+        now: Long,
+        records: Collection<EndpointRecord>,
+        afterGap: Boolean,
+        reachableSinceNanos: Long = now,
+    ) {
+        registry.replace(now, records, afterGap, reachableSinceNanos).forEach(::onEndpointRemoved)
     }
 
     /** Adds or updates one registered endpoint. */
     public fun putEndpoint(now: Long, record: EndpointRecord): Unit = registry.put(now, record)
 
-    /** Marks a registration that expired while the store was unreachable; it is removed unless it reappears soon. */
-    public fun markEndpointMissing(now: Long, id: EndpointId): Unit = registry.markMissing(now, id)
+    /**
+     * Marks a registration that expired while the store was unreachable; it is removed unless it reappears soon after
+     * [reachableSinceNanos].
+     */
+    public fun markEndpointMissing(reachableSinceNanos: Long, id: EndpointId): Unit =
+        registry.markMissing(reachableSinceNanos, id)
 
     /** Removes an endpoint whose registration was removed. */
     public fun removeEndpoint(id: EndpointId) {
--- a/core/src/test/kotlin/io/camphordrum/core/serving/ServingCoreTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/ServingCoreTest.kt
@@ -88,6 +88,15 @@
             assertIs<Placement.Refuse>(place())
         }
 
+        // Guards against requests to endpoints that left while only the answers about endpoints were lost.
+        @Test
+        fun `an endpoint whose record is missing is removed if the store has been reachable for two seconds`() {
+            serve(fixture.plainRecord("d-1"))
+            fixture.run(5_000)
+            core.replaceEndpoints(now, emptyList(), afterGap = true, reachableSinceNanos = now - 2_100_000_000)
+            assertIs<Placement.Refuse>(place())
+        }
+
         @Test
         fun `an endpoint that does not answer is avoided for a while and then retried`() {
             serve(fixture.plainRecord("d-1"), fixture.plainRecord("d-2", dataCentre = "b"))
