Resume reading when a connection returns to the pool

Callers would see: a request waits for its deadline, because its connection to the endpoint had been paused for the slow caller of the request before. Read by the review; no run on real processes showed it. Cause: reading is switched off when the caller's connection is full, and on again by the caller's next writable event. If the answer ends with the part that paused it, that event has no receiver any more, and the connection goes to the pool paused. Change: a connection that returns to the pool reads. Evidence: EndpointConnectionTest "a connection whose reading is paused at the end of an answer serves the next request" times out without the change and passes with it.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnection.kt
@@ -214,6 +214,8 @@
         // Returned to the idle pool before the listener runs, because it may send the next request immediately.
         val reuse = isOpen && framed && requestWritten && reusableUntilNanos > System.nanoTime()
         if (reuse) {
+            // The listener may have paused reading with the last part.
+            setReading(true)
             onIdle(this)
         } else {
             reusable = false
--- a/daemon/src/test/kotlin/io/camphordrum/daemon/edge/EndpointConnectionTest.kt
+++ b/daemon/src/test/kotlin/io/camphordrum/daemon/edge/EndpointConnectionTest.kt
@@ -78,6 +78,39 @@
         }
     }
 
+    // Guards against a request that waits for its deadline on a connection that a slow caller had paused.
+    @ParameterizedTest
+    @ValueSource(strings = ["epoll", "nio"])
+    fun `a connection whose reading is paused at the end of an answer serves the next request`(transportName: String) {
+        val transport = if (transportName == "epoll") Transport.epoll() else Transport.nio()
+        val group = transport.group("test-$transportName")
+        val loop = group.next()
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            thread(isDaemon = true) {
+                server.accept().use { socket ->
+                    repeat(2) {
+                        readHead(socket)
+                        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+                    }
+                }
+            }
+            val connections = EndpointConnections(loop, transport, EdgeSettings())
+            fun send(recorder: Recorder): EndpointSend = loop.submit<EndpointSend> {
+                val request = Unpooled.wrappedBuffer("GET / HTTP/1.1\r\n\r\n".toByteArray())
+                connections.send("127.0.0.1:${server.localPort}", request, headRequest = false, recorder)
+            }.get()
+            lateinit var firstSend: EndpointSend
+            val first = Recorder { firstSend.setReading(false) }
+            firstSend = send(first)
+            assertEquals("FRAMED", first.end.get(2, TimeUnit.SECONDS))
+            val second = Recorder {}
+            send(second)
+            assertEquals("FRAMED", second.end.get(2, TimeUnit.SECONDS))
+            assertEquals(1, connections.opened)
+        }
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+    }
+
     private fun readHead(socket: Socket) {
         val head = StringBuilder()
         while (!head.endsWith("\r\n\r\n")) head.append(socket.getInputStream().read().toChar())
