Bound the memory of incomplete answers for the whole process

Callers would see (report of another operator): a faulty replica sends bytes without an end, the daemon runs out of memory, and the requests of all its other callers end with it. Cause: each incomplete answer had a bound, their sum had none. An answer that was broken off kept what its caller had not read until it was read. Buffers came from chunks of up to 8 MB, which one slow caller keeps; once the 48 MB of direct memory are used up, each read waits half a second in the event loop. Change: AnswerMemory, 24 MiB for the incomplete answers of all endpoints, with what callers have not read. The answers of one endpoint take at most as much as is still free, so one faulty endpoint takes half at most and n of them leave one part in n + 1. Beyond it the answer that grows gets its true end; the log names the endpoint, its bytes and the bound, a counter counts. A broken answer whose caller does not read is reset at once. Chunks have 512 KB. Ruled out: smaller bounds for each answer, since the number of answers has no bound of its own.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerExchange.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerExchange.kt
@@ -33,6 +33,9 @@
     var headWritten = false
         private set
 
+    /** Bytes of the answer that the caller has not taken yet. */
+    val unsentBytes: Long get() = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+
     private var finished = false
     private var chunked = false
     private var closeAfterAnswer = false
@@ -99,10 +102,16 @@
         if (finished) return
         finished = true
         release()
+        val takesData = context.channel().isWritable
         // Without chunked encoding, only a reset shows that the answer is incomplete.
-        if (headWritten && !chunked) context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
-        // Data written before is still sent; the missing last chunk shows that the answer is incomplete.
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        if (headWritten && (!chunked || !takesData)) context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+        if (takesData) {
+            // Data written before is still sent; the missing last chunk shows that the answer is incomplete.
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        } else {
+            // A caller that reads too slowly, or not at all, must not keep the memory of an answer that has ended.
+            context.close()
+        }
         onFinished(true)
     }
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerListener.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerListener.kt
@@ -41,6 +41,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOCATOR, transport.allocator)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
                     transport.setUnresponsiveTimeout(channel, CALLER_UNRESPONSIVE_MILLIS)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
@@ -22,6 +22,12 @@
     val answerEnds: Counter =
         counter("camphordrum_edge_answer_ends_total", "Ends of unframed and of continued answers.", "framing", "run")
 
+    /** Answers that were broken off because their endpoint took too much memory. */
+    val answerMemoryExceeded: Counter = counter(
+        "camphordrum_edge_answer_memory_exceeded_total",
+        "Answers that were broken off because incomplete answers of their endpoint took too much memory.",
+    )
+
     /** Orders to endpoints by result. */
     val orders: Counter = counter("camphordrum_edge_orders_total", "Orders to endpoints by how they ended.", "end")
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeSettings.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeSettings.kt
@@ -7,6 +7,7 @@
  * @property unresponsiveMillis time after which a connection with unacknowledged bytes is closed.
  * @property idleMillis how long an idle connection to an endpoint is kept when the endpoint states no timeout.
  * @property maxBufferedAnswerBytes answers of plain services up to this size are buffered until they are complete.
+ * @property maxAnswerMemoryBytes memory for the incomplete answers of all endpoints.
  * @property maxConnections maximum number of concurrent connections of callers.
  * @property headerMillis time after which a connection with an incomplete request is closed.
  * @property idleCallerMillis time after which an idle connection of a caller is closed.
@@ -16,6 +17,7 @@
     val unresponsiveMillis: Int = 1_500,
     val idleMillis: Long = 3_000,
     val maxBufferedAnswerBytes: Int = 256 * 1024,
+    val maxAnswerMemoryBytes: Long = 24L shl 20,
     val maxConnections: Int = 2_500,
     val maxHeaderBytes: Int = 32 * 1024,
     val maxBodyBytes: Long = 8L shl 20,
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -50,7 +50,11 @@
     private val loop: EventLoop,
     private val transport: Transport,
     private val settings: EdgeSettings,
+    metrics: EdgeMetrics? = null,
 ) {
+    /** Memory for the answers that are received on these connections. */
+    val answerMemory = AnswerMemory(settings.maxAnswerMemoryBytes, metrics?.answerMemoryExceeded)
+
     private val idleByAddress = HashMap<String, ArrayDeque<EndpointConnection>>()
 
     /** Connections opened so far. */
@@ -160,6 +164,7 @@
             .channel(transport.clientChannel)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectMillis)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOCATOR, transport.allocator)
             // Makes the peer's orderly end an event of its own, distinct from errors and closes of this process.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(object : ChannelInitializer<SocketChannel>() {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -31,6 +31,7 @@
     private var firstPartNanos: Long? = null
     private var provedSound = false
     private var witness: EndpointWitnesses.Lease? = null
+    private val memory = forwarder.connections.answerMemory.share(placement.address)
 
     // Whether this run continues an answer that an earlier run began.
     private val continues = exchange.headWritten
@@ -95,8 +96,12 @@
         }
         recordProgress()
         stream?.let { relay(first, it, part) } ?: buffer(first, part)
+        if (!closed) memory.resize(heldBytes())?.let(::breakOff)
     }
 
+    private fun heldBytes(): Long =
+        exchange.unsentBytes + (buffered?.readableBytes() ?: 0) + (events?.heldBytes ?: 0)
+
     override fun onComplete(end: AnswerEnd) {
         if (closed) return
         when (classification) {
@@ -290,6 +295,7 @@
         if (closed) return
         closed = true
         witness?.release()
+        memory.release()
         forwarder.metrics.sends.labelValues(end.name.lowercase()).inc()
         core.recordRunEnd(forwarding.now(), work, endpoint, end)
         if (end != RunEnd.COMPLETE) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EventStream.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EventStream.kt
@@ -50,6 +50,9 @@
     // Index in the current part up to which its bytes are released.
     private var releasable = 0
 
+    /** Bytes of the event that is not complete yet. */
+    val heldBytes: Int get() = incomplete.readableBytes()
+
     /** Prepares for the first part of a run; incomplete events of the run before are discarded. */
     fun startRun() {
         discardIncomplete()
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Transport.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Transport.kt
@@ -1,5 +1,7 @@
 package io.camphordrum.daemon.edge
 
+import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.PooledByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -24,6 +26,13 @@
     private val ioHandlerFactory: () -> IoHandlerFactory,
     private val epoll: Boolean,
 ) {
+    /**
+     * Allocates the buffers of all connections.
+     *
+     * Its chunks are small, because one buffer that a slow peer keeps holds its whole chunk.
+     */
+    val allocator: ByteBufAllocator = PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER)
+
     /** Returns one event loop on a daemon thread of the given name. */
     fun group(name: String): EventLoopGroup =
         MultiThreadIoEventLoopGroup(1, DefaultThreadFactory(name, true), ioHandlerFactory())
@@ -39,6 +48,11 @@
     }
 
     companion object {
+        private const val PAGE_BYTES = 8_192
+
+        // 512 KB; larger buffers are allocated and freed one by one.
+        private const val CHUNK_ORDER = 6
+
         /** Returns the preferred implementation that this system supports. */
         fun best(): Transport = if (Epoll.isAvailable()) epoll() else nio()
 
