Refuse what cannot end in the grace, and end the rest truthfully

Callers saw (report of another operator): in a planned stop of one instance, requests that came late in the grace were passed on and cut at its end without an answer, among them requests that may not be repeated. Cause: from SIGTERM on only the listener and the idle connections were closed. Requests on other connections, retries, resumptions and requests that waited for a turn were passed on whatever time was left, and the process ended with them. What does not fit gets 503 unsent, and Retry-After 50 ms, since another instance can serve it. Ruled out: to refuse everything from SIGTERM on. New connections come for two seconds more, and most answers take less than the grace.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
@@ -54,6 +54,9 @@
     /** The prompt contains parts that have crashed endpoints. */
     BLOCKED_PROMPT,
 
+    /** The answer would not be complete before this daemon stops. */
+    STOPPING,
+
     /** Endpoints turned the request away without running it. */
     TURNED_AWAY,
 }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerConnection.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerConnection.kt
@@ -33,6 +33,9 @@
 
     val idle: Boolean get() = exchange == null && request == null
 
+    /** Bytes that were written and that the caller has not taken yet. */
+    val unsentBytes: Long get() = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerListener.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/CallerListener.kt
@@ -65,6 +65,9 @@
         connections.toList().forEach { it.closeIdle() }
     }
 
+    /** Returns the bytes of answers that callers have not taken yet; called on the event loop. */
+    fun unsentBytes(): Long = connections.sumOf { it.unsentBytes }
+
     internal fun onOpened(connection: CallerConnection): Boolean {
         if (connections.size >= limits.maxConnections) return false
         connections += connection
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -267,6 +267,10 @@
         if (!forwarding.finish()) return
         forwarder.metrics.answers.labelValues(if (first.status in SUCCESS) "served" else "failed_by_endpoint").inc()
         val firstMillis = (partTimes.firstNanos(forwarding.now()) - work.arrivedNanos) / NANOS_PER_MILLI
+        if (first.status in SUCCESS) {
+            val totalMillis = (forwarding.now() - work.arrivedNanos) / NANOS_PER_MILLI
+            forwarder.answerTimes.record(work.route, forwarding.request.outputTokens, firstMillis, totalMillis)
+        }
         val pauseMillis = partTimes.longestPauseNanos / NANOS_PER_MILLI
         val late = firstMillis > work.route.targetMillis || pauseMillis > (work.route.pauseMillis ?: Long.MAX_VALUE)
         EdgeLog.writeServed(late) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -31,6 +31,11 @@
     private val open = LinkedHashSet<Forwarding>()
     private val witnesses = EndpointWitnesses(connections, loop)
 
+    internal val answerTimes = AnswerTimes()
+
+    // When this daemon ends the requests that are still open; null unless it is stopping.
+    private var stopNanos: Long? = null
+
     /** Requests without a final answer. */
     @Volatile
     var openRequests = 0
@@ -48,6 +53,20 @@
         }
     }
 
+    /** From now on refuses requests whose answers are not likely to be complete at [stopNanos]. */
+    fun drain(stopNanos: Long) {
+        this.stopNanos = stopNanos
+    }
+
+    /** Ends all open requests: with 503 those that were not sent, with 502 or a visible break the others. */
+    fun stop() = open.toList().forEach { it.endForStop() }
+
+    /** Returns whether the answer to [request] is likely to be complete before this daemon stops. */
+    internal fun endsBeforeStop(request: CallerRequest, work: Work): Boolean {
+        val remainingNanos = (stopNanos ?: return true) - clock.nanos()
+        return remainingNanos > answerTimes.likelyMillis(work.route, request.outputTokens) * NANOS_PER_MILLI
+    }
+
     /** Observes the endpoint of [placement] until the end of its answer; null if it cannot be asked. */
     internal fun observe(work: Work, placement: Placement.Send): EndpointWitnesses.Lease? {
         val service = core.config?.services?.get(work.service) ?: return null
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -58,6 +58,10 @@
 
     private fun placeRequest() {
         if (finished) return
+        if (!forwarder.endsBeforeStop(request, work)) {
+            refuse(RefuseReason.STOPPING, STOPPING_RETRY_MILLIS)
+            return
+        }
         if (!hasTrial && core.prompts.block(work) == null && core.prompts.needsTrial(work)) {
             awaitTrial()
             return
@@ -128,7 +132,8 @@
     // The endpoint may have changed since the turn was requested.
     private fun sendAfterTurn(placement: Placement.Send) {
         if (finished) return
-        if (core.stillServes(now(), work, placement.endpoint)) send(placement) else placeRequest()
+        val mayStillSend = forwarder.endsBeforeStop(request, work) && core.stillServes(now(), work, placement.endpoint)
+        if (mayStillSend) send(placement) else placeRequest()
     }
 
     private fun send(placement: Placement.Send) {
@@ -214,6 +219,18 @@
         }
     }
 
+    /** Ends the request because this daemon stops now. */
+    fun endForStop() {
+        if (finished) return
+        val current = run?.takeIf { !it.closed }
+        current?.cancel()
+        if (current != null || possibleRuns > 0 || exchange.headWritten) {
+            failRequest("stopping")
+        } else {
+            refuse(RefuseReason.STOPPING, STOPPING_RETRY_MILLIS)
+        }
+    }
+
     private fun callerDisconnected() {
         if (!finish()) return
         run?.cancel()
@@ -268,5 +285,8 @@
         // Turns requested from endpoints before the request is refused.
         const val MAX_TURN_REQUESTS = 4
         const val RETRY_MILLIS = 300L
+
+        // Another instance can serve the request at once.
+        const val STOPPING_RETRY_MILLIS = 50L
     }
 }
