--- a/daemon/src/test/kotlin/io/camphordrum/daemon/EndingEndpoint.kt
+++ b/daemon/src/test/kotlin/io/camphordrum/daemon/EndingEndpoint.kt
@@ -24,10 +24,18 @@
 
     /** Returns how a dispatch ends when the endpoint closes its connection after [body]. */
     protected fun endOf(framing: String, body: String, streaming: Boolean = false): DispatchEnd =
+        endOf(head(framing) + body, streaming)
+
+    /** Returns the head of a success with the headers [framing]. */
+    protected fun head(framing: String) =
+        "HTTP/1.1 200 OK\r\nx-dispatch-id: d-1\r\ncontent-type: application/json\r\n$framing\r\n"
+
+    /** Returns how a dispatch ends when the endpoint closes its connection after the bytes [answer]. */
+    protected fun endOf(answer: String, streaming: Boolean): DispatchEnd =
         ServerSocket(0, 50, InetAddress.getLoopbackAddress()).use { server ->
             thread(isDaemon = true) {
                 while (!server.isClosed) {
-                    runCatching { server.accept().use { answer(it, framing, body) } }
+                    runCatching { server.accept().use { answer(it, answer) } }
                 }
             }
             val address = "127.0.0.1:${server.localPort}"
@@ -38,12 +46,11 @@
             end.join()
         }
 
-    private fun answer(socket: Socket, framing: String, body: String) {
+    private fun answer(socket: Socket, answer: String) {
         val head = StringBuilder()
         while (!head.endsWith("\r\n\r\n")) head.append(socket.getInputStream().read().toChar())
         // Refuses the client's attempts to speak HTTP/2.
-        val status = if (head.startsWith("POST")) "200 OK" else "400 Bad Request"
-        val headers = "x-dispatch-id: d-1\r\ncontent-type: application/json\r\n$framing\r\n"
-        socket.getOutputStream().write("HTTP/1.1 $status\r\n$headers$body".toByteArray())
+        val refusal = "HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n"
+        socket.getOutputStream().write((if (head.startsWith("POST")) answer else refusal).toByteArray())
     }
 }
