--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/AnswerMemory.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/AnswerMemory.kt
@@ -27,6 +27,7 @@
         /** Changes the memory of the answer to [newBytes]; returns why that is too much, or null. */
         fun resize(newBytes: Long): String? {
             val growth = newBytes - bytes
+            if (growth == 0L) return null
             val endpointBytes = (bytesByAddress[address] ?: 0L) + growth
             val freeBytes = maxBytes - (usedBytes + growth)
             if (growth > 0 && endpointBytes > freeBytes) return refuse(endpointBytes)
