--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Watch.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Watch.kt
@@ -44,7 +44,7 @@
     }
 
     private companion object {
-        // With the time-out and the retry of a lost poll, a change is noticed within the 18 s in which it must be in force.
+        // With the time-out and the retry of a lost poll, a change is noticed within 18 s.
         const val POLL_TIMEOUT_MILLIS = 12_000L
     }
 }
