Treat answers with an invalid status code as failures of their endpoint

Callers got an answer whose status was 000 as the endpoint sent it, in both interfaces; a status of 0200 or +200 counted as a success. Cause: the HTTP decoders take any number as a status code, and nothing behind them checks its range. Change: a status code is three digits from 100 to 599 (RFC 9110). The edge's decoder refuses other status lines, so the run fails like any broken answer: 502, or another endpoint where the request may be repeated. In the product's own interface a guard before the client's decoder closes the connection.

--- a/daemon/src/main/kotlin/io/camphordrum/daemon/CallersPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/CallersPlugin.kt
@@ -29,7 +29,7 @@
 
     override fun start(kernel: Kernel) {
         this.kernel = kernel
-        clientFactory = ClientFactory.builder().connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS).build()
+        clientFactory = endpointClientFactory().connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS).build()
         endpointClient = EndpointClient(clientFactory)
         kernel.ports.callerHandler = ::onEffect
         val settings = kernel.settings
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
@@ -142,6 +142,7 @@
     private fun headerFault(order: DispatchOrder, headers: ResponseHeaders): DispatchEnd? {
         val status = headers.status().code()
         val where = "from ${order.endpoint}"
+        if (!isStatusCode(status.toString())) return DispatchEnd.Failed("invalid status $status $where", 0, false)
         if (order.version != null && status in NOT_RUN_STATUSES) return DispatchEnd.NotRun("status $status $where")
         if (headers.get(EndpointHeaders.DISPATCH_ID) != order.dispatch) {
             val receivedId = headers.get(EndpointHeaders.DISPATCH_ID)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointsPlugin.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointsPlugin.kt
@@ -20,7 +20,7 @@
 
     override fun start(kernel: Kernel) {
         this.kernel = kernel
-        clientFactory = ClientFactory.builder().connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS).build()
+        clientFactory = endpointClientFactory().connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS).build()
         endpointClient = EndpointClient(clientFactory)
         kernel.ports.orderHandler = ::sendOrder
         kernel.ports.loadHandler = ::readLoad
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointConnections.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.daemon.edge
 
 import io.camphordrum.core.serving.ProbeResult
+import io.camphordrum.daemon.isStatusCode
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelInitializer
@@ -9,6 +10,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 import java.net.ConnectException
 import java.net.InetSocketAddress
@@ -184,7 +186,13 @@
             connection.hasUndecodedBytes = { actualReadableBytes() > 0 }
         }
 
-        override fun isContentAlwaysEmpty(message: io.netty.handler.codec.http.HttpMessage): Boolean =
+        // The decoder accepts any number, also with a sign or leading zeros.
+        override fun createMessage(initialLine: Array<String>): HttpMessage {
+            require(isStatusCode(initialLine[1])) { "invalid status code ${initialLine[1].take(MAX_LOGGED_CHARS)}" }
+            return super.createMessage(initialLine)
+        }
+
+        override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
             connection.headRequest || super.isContentAlwaysEmpty(message)
     }
 
@@ -220,6 +228,7 @@
 
     private companion object {
         const val EXPIRY_CHECK_MILLIS = 500L
+        const val MAX_LOGGED_CHARS = 40
     }
 }
 
--- a/daemon/src/test/kotlin/io/camphordrum/daemon/EndingEndpoint.kt
+++ b/daemon/src/test/kotlin/io/camphordrum/daemon/EndingEndpoint.kt
@@ -1,6 +1,5 @@
 package io.camphordrum.daemon
 
-import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
 import io.camphordrum.core.DispatchEnd
@@ -15,7 +14,7 @@
 
 /** Dispatches requests of a plain service to an endpoint that closes its connection after its answer. */
 abstract class EndingEndpoint {
-    private val factory = ClientFactory.builder().connectTimeoutMillis(2_000).build()
+    private val factory = endpointClientFactory().connectTimeoutMillis(2_000).build()
 
     @AfterEach
     fun stop() {
--- a/daemon/src/test/kotlin/io/camphordrum/daemon/EndpointClientTest.kt
+++ b/daemon/src/test/kotlin/io/camphordrum/daemon/EndpointClientTest.kt
@@ -1,6 +1,5 @@
 package io.camphordrum.daemon
 
-import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
@@ -31,7 +30,7 @@
 /** Verifies what a caller receives when an endpoint returns a wrong, a partial or no response. */
 class EndpointClientTest {
     private val engine = Engine(options = EngineOptions(loadMillis = 1, stepMillis = 1.0)).start()
-    private val factory = ClientFactory.builder().connectTimeoutMillis(2_000).build()
+    private val factory = endpointClientFactory().connectTimeoutMillis(2_000).build()
     private val client = EndpointClient(factory)
     private val version = AdapterVersion("reports", 7)
 
