Ask the store less often where the bounds allow it

A daemon that has not read an announcement yet expects the version that the endpoint holds, so that endpoints do not turn its requests away meanwhile.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointOwnership.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointOwnership.kt
@@ -155,7 +155,8 @@
         val idle = rights.heldEndpoints.isEmpty()
         val needsRights =
             !idle || !rights.wereRead || engines.any { preferredOwner(it)?.member?.instance == context.self }
-        if (needsRights && rights.readOlderThan(now, if (idle) IDLE_READ_NANOS else READ_NANOS)) rights.refresh(now)
+        val intervalNanos = if (rights.lastReadFailed) RETRY_READ_NANOS else READ_NANOS
+        if (needsRights && rights.readOlderThan(now, intervalNanos)) rights.refresh(now)
         for (state in engines) {
             val preferred = ready && preferredOwner(state)?.member?.instance == context.self && !state.isBackingOff(now)
             rights.claim(now, state.id, preferred) { machine -> isHolderLive(now, machine) }
@@ -239,8 +240,8 @@
         // Rights change hands when a daemon is lost, which is detected after more than a second.
         const val CLAIM_NANOS = 100_000_000L
 
-        // Two reads within the validity of a right of 2.5 s, so that one of them may fail.
-        const val READ_NANOS = 1_200_000_000L
-        const val IDLE_READ_NANOS = 2_000_000_000L
+        // Leaves half a second of the validity of a right of 2.5 s for the answer of a slow store.
+        const val READ_NANOS = 2_000_000_000L
+        const val RETRY_READ_NANOS = 1_200_000_000L
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
@@ -100,6 +100,14 @@
     fun announcedVersion(base: String?, adapter: String?): Int? =
         if (base == null || adapter == null) null else versions[base to adapter]
 
+    /**
+     * Returns the version that a request to [state] expects; null if none was announced.
+     *
+     * An endpoint may hold a version whose announcement this daemon has not read yet.
+     */
+    fun expectedVersion(state: EndpointState, base: String?, adapter: String?): Int? =
+        announcedVersion(base, adapter)?.let { maxOf(it, state.held[base]?.get(adapter) ?: it) }
+
     fun mayServe(state: EndpointState): Boolean = !state.record.draining &&
         state.record.dataCentre !in closedDataCentres &&
         leavingStarts[state.id] != state.record.startedEpochMillis
--- a/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
@@ -60,6 +60,7 @@
         val startedMillis = clock.epochMillis()
         store.list { rights ->
             listing = false
+            lastReadFailed = rights == null
             if (rights != null) applyList(now, startedMillis, rights)
         }
     }
@@ -72,6 +73,10 @@
         refresh(now)
     }
 
+    /** Whether the store did not answer the last read. */
+    var lastReadFailed = false
+        private set
+
     /** Whether the rights have been read since the start. */
     val wereRead: Boolean get() = storedRights != null
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -173,7 +173,7 @@
         return Placement.Send(
             choice.state.id,
             choice.state.record.address,
-            registry.announcedVersion(work.base, work.adapter),
+            registry.expectedVersion(choice.state, work.base, work.adapter),
             choice.millis,
         )
     }
--- a/core/src/test/kotlin/io/camphordrum/core/serving/TwoDaemonsTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/TwoDaemonsTest.kt
@@ -217,6 +217,18 @@
         assertTrue(daemon.core.place(clock.nanos, daemon.work("r2", "x")) !is Placement.Send)
     }
 
+    // Guards against requests that an endpoint turns away because its owner read an announcement first.
+    @Test
+    fun `a request expects the version that its endpoint holds if the announcement was not read yet`() {
+        start()
+        val daemon = other()
+        daemon.core.announceVersions(mapOf(("m" to "x") to 1))
+        val record = daemon.engineRecord("i-2").copy(held = listOf(HeldModel("m", mapOf("x" to 2))))
+        daemon.core.replaceEndpoints(clock.nanos, listOf(record), afterGap = false)
+        val send = assertIs<Placement.Send>(daemon.core.place(clock.nanos, daemon.work("r1", "x")))
+        assertEquals(2, send.version)
+    }
+
     @Test
     fun `the machine name of a daemon contains its instance and host`() {
         val daemon = RegisteredDaemon(Member(InstanceId("edge-a1"), 3), DataCentreId("a"), "10.0.0.1:7600")
