--- a/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/EndpointClient.kt
@@ -148,8 +148,12 @@
             val receivedId = headers.get(EndpointHeaders.DISPATCH_ID)
             return DispatchEnd.Failed("expected dispatch ${order.dispatch} $where, but came $receivedId", 0, false)
         }
-        val version = order.version ?: return null
-        if (!headers.status().isSuccess) return DispatchEnd.Failed("status $status $where", 0, false)
+        return order.version?.let { versionFault(it, headers, where) }
+    }
+
+    private fun versionFault(version: AdapterVersion, headers: ResponseHeaders, where: String): DispatchEnd? {
+        val status = headers.status()
+        if (!status.isSuccess) return DispatchEnd.Failed("status ${status.code()} $where", 0, false)
         val served = headers.get(EndpointHeaders.ADAPTER_VERSION)
         if (served == version.toString()) return null
         return DispatchEnd.Failed("expected adapter $version $where, but came $served", 0, false)
