--- a/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
@@ -91,10 +91,11 @@
         if (leaving || endpoint in heldRights || endpoint in writing) return
         val previous = rights[endpoint.name]
         val heldByThisMachine = previous?.right?.machine == machine
+        if (!heldByThisMachine && !preferred) return
         val recentlyChanged = holderChangedNanos[endpoint.name]?.let { now - it < MIN_TENURE_NANOS } == true
         val unclaimed =
             previous == null || previous.right.released || (!recentlyChanged && !isLive(previous.right.machine))
-        if (!heldByThisMachine && !(preferred && unclaimed)) return
+        if (!heldByThisMachine && !unclaimed) return
         writeClaim(now, endpoint, previous, heldByThisMachine)
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
@@ -11,7 +11,7 @@
     public val peerAddress: String,
 ) {
     /** Name of the machine of the daemon, as stored in an order right. */
-    public val machine: String get() = "${member.instance.name}@${peerAddress.substringBeforeLast(':')}"
+    public val machine: String = "${member.instance.name}@${peerAddress.substringBeforeLast(':')}"
 }
 
 /** Tracks the registered daemons, when each was last heard from, and their charges received directly or forwarded. */
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
@@ -46,6 +46,7 @@
         .unit(MetricUnit.SECONDS)
         .classicOnly()
         .classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+        .withoutExemplars()
         .register(registry)
 
     /** Registers a gauge [name] that reads [value] at each scrape. */
@@ -60,6 +61,7 @@
         return out.toString(Charsets.UTF_8)
     }
 
+    // There is no tracing; exemplars would only cost a scheduled task for each sample.
     private fun counter(name: String, help: String, vararg labels: String): Counter =
-        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+        Counter.builder().name(name).help(help).labelNames(*labels).withoutExemplars().register(registry)
 }
