--- a/bench/src/main/kotlin/io/camphordrum/bench/Capacity.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/Capacity.kt
@@ -27,6 +27,7 @@
     "peers" to ::peerSlope,
     "idle-owned" to ::idleByOwned,
     "idle-members" to ::idleByMembers,
+    "serving" to ::servingSlope,
 )
 
 /** Measures the control-plane cost of one daemon: `capacity --out DIR [--only NAME]`. */
