--- a/daemon/src/main/kotlin/io/camphordrum/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/Metrics.kt
@@ -138,6 +138,6 @@
     }
 
     private companion object {
-        val THREAD_NAME_PREFIXES = listOf("decisions", "platform", "peers-selector", "peers", "armeria")
+        val THREAD_NAME_PREFIXES = listOf("decisions", "platform", "peers", "armeria")
     }
 }
--- a/wire/src/main/kotlin/io/camphordrum/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/io/camphordrum/wire/PeerNetwork.kt
@@ -34,7 +34,7 @@
  * The hello identifies a peer, without authentication.
  *
  * All work runs on one thread: the event loop of [sharedTransport], or one of its own named `peers`. A shared loop saves
- * two switches of threads for each message; they took a third of the time of the messages.
+ * the switches between threads for each message.
  */
 public class PeerNetwork(
     private val self: Member,
@@ -200,7 +200,7 @@
             .connect(peer.remote)
         peer.channel = connected.channel()
         connected.addListener { future ->
-            if (!future.isSuccess) {
+            if (!future.isSuccess && !peer.stopped) {
                 events.onFault(address, "connect failed: ${future.cause().message}")
                 peer.connection = null
                 peer.failures++
