--- a/bench/src/main/kotlin/io/camphordrum/bench/CapacityServing.kt
+++ b/bench/src/main/kotlin/io/camphordrum/bench/CapacityServing.kt
@@ -5,7 +5,6 @@
 import io.camphordrum.core.EndpointId
 import io.camphordrum.core.InstanceId
 import io.camphordrum.core.Member
-import io.camphordrum.core.serving.Repetition
 import io.camphordrum.core.serving.BaseModel
 import io.camphordrum.core.serving.CallerLimits
 import io.camphordrum.core.serving.EndpointOrder
@@ -18,6 +17,7 @@
 import io.camphordrum.core.serving.OrderEnd
 import io.camphordrum.core.serving.OrderPort
 import io.camphordrum.core.serving.RegisteredDaemon
+import io.camphordrum.core.serving.Repetition
 import io.camphordrum.core.serving.RightStore
 import io.camphordrum.core.serving.RightWriteResult
 import io.camphordrum.core.serving.ServedService
@@ -145,8 +145,18 @@
         val meter = CapacityMeter()
         repeat(2 * PLACEMENTS) {
             val work = Work(
-                "r-$it", route, SERVICE, null, 1, BASE, "x-${it % ENDPOINTS}", 800, 800, nowNanos,
-                nowNanos + 15_000_000_000, 300,
+                id = "r-$it",
+                route = route,
+                service = SERVICE,
+                account = null,
+                priority = 1,
+                base = BASE,
+                adapter = "x-${it % ENDPOINTS}",
+                promptTokens = 800,
+                chargedTokens = 800,
+                arrivedNanos = nowNanos,
+                deadlineNanos = nowNanos + route.timeoutMillis * 1_000_000,
+                newTokens = 300,
             )
             if (it < PLACEMENTS) core.place(nowNanos, work) else meter.measure { core.place(nowNanos, work) }
         }
@@ -199,7 +209,8 @@
         val options = ServingOptions(daemon.member, daemon.dataCentre, seed = 7)
         val engine = EngineLimits(16, ADAPTERS + 3, listOf(BaseModel(BASE, 1_000)))
         val limits = CallerLimits(16_384, 4_194_304, 3_000, 9_000)
-        val config = ServingConfig(1, listOf(route), listOf(ServedService(SERVICE, 520, 0.0, engine)), emptyList(), limits)
+        val service = ServedService(SERVICE, 520, 0.0, engine)
+        val config = ServingConfig(1, listOf(route), listOf(service), emptyList(), limits)
         return ServingCore(options, daemon.machine, this, ports).also {
             it.configure(nowNanos, config)
             it.replaceDaemons(registered)
