--- a/wire/src/main/kotlin/io/camphordrum/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/io/camphordrum/wire/PeerNetwork.kt
@@ -33,8 +33,8 @@
  * back-off until [disconnect]. Call that for addresses of former members, because the number of addresses is limited.
  * The hello identifies a peer, without authentication.
  *
- * All work runs on one thread: the event loop of [sharedTransport], or one of its own named `peers`. A shared loop saves
- * the switches between threads for each message.
+ * All work runs on one thread: the event loop of [sharedTransport], or one of its own named `peers`. A shared loop
+ * saves the switches between threads for each message.
  */
 public class PeerNetwork(
     private val self: Member,
