Order prompts by their due time and let short ones pass long ones that can wait

Long prompts held up short ones: a prompt larger than the token bucket waited for a full bucket at the head of the queue, and short prompts filled the queue up to a wait that no long prompt tolerates. PromptQueue (core.turns) replaces TurnQueue: earliest due time within a rank, a short prompt passes a long one that still starts in time, prompts that will be late are refused at once, and all sizes find the same room while long ones are refused.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingContext.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingContext.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.InstanceId
+import io.camphordrum.core.turns.Pace
 
 /** Holds the state that the parts of a [ServingCore] share and sends their messages to other daemons. */
 internal class ServingContext(
--- a/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
@@ -1,13 +1,15 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.EndpointId
+import io.camphordrum.core.turns.PromptQueue
+import io.camphordrum.core.turns.QueuedPrompt
 
 /** Grants the turns at the endpoints that this daemon owns, and requests turns at other endpoints from their owners. */
 internal class TurnScheduler(private val context: ServingContext, private val owns: (EndpointId) -> Boolean) {
     private class Wait(val endpoint: EndpointId, val untilNanos: Long, val onEnd: (Boolean) -> Unit)
 
     private val registry = context.registry
-    private val queues = HashMap<EndpointId, TurnQueue>()
+    private val queues = HashMap<EndpointId, PromptQueue>()
     private val waits = HashMap<String, Wait>()
 
     fun queuedTokens(id: EndpointId): Int = queues[id]?.queuedTokens ?: 0
@@ -37,7 +39,7 @@
         val id = EndpointId(ask.endpoint)
         val queue = if (owns(id)) queues.getOrPut(id) { createQueue(id) } else null
         val untilNanos = now + peerDurationNanos(ask.waitMillis)
-        val request = TurnQueue.TurnRequest(from, ask.id, ask.tokens, ask.priority, untilNanos)
+        val request = QueuedPrompt(from, ask.id, ask.tokens, ask.priority, untilNanos)
         if (queue == null || !queue.add(now, request)) {
             sendTurnEnd(from, ServingMessage.TurnEnd(ask.endpoint, ask.id, false, queue?.queuedTokens ?: 0))
         } else {
@@ -76,9 +78,9 @@
         context.speed(state.record.service).recordRead(begun.newTokens, begun.actualMillis)
     }
 
-    private fun createQueue(id: EndpointId): TurnQueue {
+    private fun createQueue(id: EndpointId): PromptQueue {
         val service = registry.get(id)?.record?.service.orEmpty()
-        return TurnQueue { context.pace(service) }
+        return PromptQueue { context.pace(service) }
     }
 
     private fun grantDue(now: Long, id: EndpointId) {
@@ -92,13 +94,13 @@
         val slots = service.engine?.batchSlots ?: return
         val openRequests = state.runningEverywhere(now) + state.unansweredEverywhere(now)
         val freeSlots = minOf(slots - openRequests, state.remainingColdTurns(now, registry.coldTurnsPerSecond(service)))
-        val (granted, expired) = queue.grantDue(now, freeSlots, state.slowness)
+        val grants = queue.grantDue(now, freeSlots, state.slowness)
         state.queuedTurnTokens = queue.queuedTokens
-        for (request in granted) {
+        for (request in grants.granted) {
             state.recordGrantedTurn(now, request.id, request.tokens)
             sendTurnEnd(request.requester, ServingMessage.TurnEnd(id.name, request.id, true, queue.queuedTokens))
         }
-        for (request in expired) {
+        for (request in grants.refused) {
             sendTurnEnd(
                 request.requester,
                 ServingMessage.TurnEnd(id.name, request.id, false, queue.queuedTokens),
