Move the estimate of an endpoint's answer time into core.load

EndpointSelector held the estimate, and ServingCore read a part of it from there. Admission and turns need the same figure, so it moves to EndpointLoads.expectedMillis. No change of behaviour.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
@@ -2,6 +2,7 @@
 
 import io.camphordrum.core.EndpointId
 import io.camphordrum.core.Rendezvous
+import io.camphordrum.core.load.EndpointLoads
 
 /**
  * Chooses the endpoint with the lowest cost among those where the answer begins in time.
@@ -11,7 +12,11 @@
  * adapter needs. If an adapter must be loaded, its rendezvous rank decides, so that daemons choose the same endpoint
  * without coordination.
  */
-internal class EndpointSelector(private val context: ServingContext, private val loadMillis: () -> Double) {
+internal class EndpointSelector(
+    context: ServingContext,
+    private val loads: EndpointLoads,
+    private val loadMillis: () -> Double,
+) {
     /** Pairs an endpoint with its expected time and cost, and whether the adapter must be loaded first. */
     class Choice(val state: EndpointState, val millis: Double, val cost: Double, val load: Boolean)
 
@@ -36,15 +41,6 @@
         return choices.filter { it.millis <= boundMillis }.minByOrNull { it.cost } ?: choices.minByOrNull { it.millis }
     }
 
-    /** Returns the time that an engine of slowness 1 takes to read the unanswered prompts and that of [work]. */
-    fun readMillis(now: Long, work: Work, state: EndpointState): Double {
-        val tokens = state.pendingTokens(now) + work.promptTokens
-        return tokens / engineSpeed(state).tokensPerMilli + STEP_MILLIS +
-            state.runningEverywhere(now) * STEP_MILLIS_PER_RUN
-    }
-
-    private fun engineSpeed(state: EndpointState) = context.speed(state.record.service)
-
     private fun choice(
         now: Long,
         work: Work,
@@ -57,16 +53,15 @@
         if (!state.hasColdRoom(now, registry.coldSendsPerSecond(now, state, service))) return null
         if (!registry.hasConnectionRoom(now, state, service)) return null
         val penalty = penalty(now, work, state)
-        val engine = service.engine
-            ?: return plainMillis(now, state).let { Choice(state, it, it + penalty, load = false) }
+        val wait = loads.expectedMillis(now, work, state)
+        val engine = service.engine ?: return Choice(state, wait, wait + penalty, load = false)
         val base = work.base ?: engine.baseModels.firstOrNull()?.name ?: return null
         if (base !in state.held) return null
-        val wait = engineMillis(now, work, engine, state)
         if (state.holds(base, work.adapter, version)) return Choice(state, wait, wait + penalty, load = false)
         if (state.id in noLoad || !state.ownerMayOrder || !registry.ownerReachable(now, state)) return null
-        val loads = 1 + state.ownerQueuedLoads * QUEUED_LOAD_PART
-        val cost = wait + penalty + LOAD_COST_MILLIS * loads + rank * RANK_COST_MILLIS
-        return Choice(state, wait + loadMillis() * loads, cost, load = true)
+        val loadCount = 1 + state.ownerQueuedLoads * QUEUED_LOAD_PART
+        val cost = wait + penalty + LOAD_COST_MILLIS * loadCount + rank * RANK_COST_MILLIS
+        return Choice(state, wait + loadMillis() * loadCount, cost, load = true)
     }
 
     private fun penalty(now: Long, work: Work, state: EndpointState): Double {
@@ -74,27 +69,7 @@
         return remoteMillis + state.failureRate(now) * FAILURE_COST_FACTOR * work.route.targetMillis
     }
 
-    private fun plainMillis(now: Long, state: EndpointState): Double {
-        val open = state.runningEverywhere(now) + state.unansweredEverywhere(now)
-        val slots = maxOf(1, state.record.slots)
-        return PLAIN_MILLIS * state.slowness * (open.toDouble() / slots + maxOf(0, open + 1 - slots))
-    }
-
-    private fun engineMillis(now: Long, work: Work, engine: EngineLimits, state: EndpointState): Double {
-        val excessRequests = state.runningEverywhere(now) + state.unansweredEverywhere(now) + 1 - engine.batchSlots
-        val pace = context.pace(state.record.service)
-        val turnTokens = state.queuedTurnTokens + state.requestedTurns.values.sum()
-        val reading = readMillis(now, work, state) + turnTokens / (pace.tokensPerMilli * pace.readingPart)
-        return reading * state.slowness + maxOf(0, excessRequests) * RUN_MILLIS / engine.batchSlots
-    }
-
     private companion object {
-        // Constants of the estimate; the slowness of an endpoint corrects them by its actual times.
-        const val STEP_MILLIS = 10.0
-        const val STEP_MILLIS_PER_RUN = 0.1
-        const val RUN_MILLIS = 2_000.0
-        const val PLAIN_MILLIS = 60.0
-
         // A further copy occupies a slot and costs a fetch from the weight store, so it must save more than the time of
         // one load.
         const val LOAD_COST_MILLIS = 400.0
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -4,6 +4,7 @@
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.EndpointId
 import io.camphordrum.core.Member
+import io.camphordrum.core.load.EndpointLoads
 import kotlin.random.Random
 
 /**
@@ -37,7 +38,8 @@
         { noticeExchange.hasCurrentView(it) },
     ) { turnScheduler.queuedTokens(it) }
     private val turnScheduler: TurnScheduler = TurnScheduler(context) { ownership.owns(it) }
-    private val selector = EndpointSelector(context) { ownership.loadMillis }
+    private val loads = EndpointLoads(context)
+    private val selector = EndpointSelector(context, loads) { ownership.loadMillis }
     private val meter = AccountMeter(options.self, startedNanos, options.limitSlackTokens)
     private val limits = EndpointLimits(context)
 
@@ -227,7 +229,7 @@
             val fields = mapOf("id" to work.id, "endpoint" to endpoint.name, "perSecond" to limit)
             ports.logEvent("limited_send", fields)
         }
-        if (work.base != null) state.expectedReadMillis[work.id] = selector.readMillis(now, work, state)
+        if (work.base != null) state.expectedReadMillis[work.id] = loads.readMillis(now, work, state)
         state.unanswered[work.id] = work
         state.recordSend(now)
     }
