--- a/core/src/main/kotlin/io/camphordrum/core/load/EndpointLoads.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/EndpointLoads.kt
@@ -12,13 +12,13 @@
 internal class EndpointLoads(private val context: ServingContext) {
     /**
      * Returns the expected milliseconds from now until the answer to [work] begins at [endpoint], which holds its
-     * adapter.
+     * adapter, after the waiting prompts of [rank] and lower ranks.
      */
-    fun expectedMillis(now: Long, work: Work, endpoint: EndpointState): Double {
+    fun expectedMillis(now: Long, work: Work, endpoint: EndpointState, rank: Int): Double {
         val engine = context.engine(endpoint) ?: return plainMillis(now, endpoint)
         val excessRequests = endpoint.runningEverywhere(now) + endpoint.unansweredEverywhere(now) + 1 - engine.batchSlots
         val pace = context.pace(endpoint.record.service)
-        val turnTokens = endpoint.queuedTurnTokens + endpoint.requestedTurns.values.sum()
+        val turnTokens = endpoint.turnTokensAhead(rank)
         val reading = readMillis(now, work, endpoint) + turnTokens / (pace.tokensPerMilli * pace.readingPart)
         return reading * endpoint.slowness + maxOf(0, excessRequests) * RUN_MILLIS / engine.batchSlots
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/AccountMeter.kt
@@ -27,6 +27,7 @@
 
     private val buckets = HashMap<String, Bucket>()
     private val ownCharges = HashMap<String, Long>()
+    private val fleetCharges = HashMap<String, Long>()
     private val reportedCharges = HashMap<String, ReportedCharges>()
     private var limitShare = 1.0
     private var daemonCount = 1
@@ -34,6 +35,9 @@
     /** Tokens that this daemon has charged since its start, less refunds, by account. */
     public val charged: Map<String, Long> get() = ownCharges
 
+    /** Tokens that all daemons have charged since this daemon has heard of them, by account. */
+    public val fleetCharged: Map<String, Long> get() = fleetCharges
+
     /** Applies the limits of [accounts]; a lower limit takes effect at once. */
     public fun configure(now: Long, accounts: List<ServedAccount>) {
         val limited = accounts.filter { it.tokensPerSecond > 0 }
@@ -103,6 +107,7 @@
         for ((account, tokens) in charged) {
             val newTokens = tokens - (peer.charged.put(account, tokens) ?: 0)
             buckets[account]?.let { it.tokens -= newTokens }
+            fleetCharges.merge(account, newTokens, Long::plus)
         }
     }
 
@@ -124,6 +129,7 @@
         bucket.tokens -= tokens
         bucket.allowanceTokens -= tokens
         ownCharges.merge(account, tokens, Long::plus)
+        fleetCharges.merge(account, tokens, Long::plus)
     }
 
     private fun refill(now: Long, bucket: Bucket) {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointOwnership.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointOwnership.kt
@@ -14,7 +14,7 @@
     private val rights: OrderRights,
     private val startedNanos: Long,
     private val hasCurrentView: (now: Long) -> Boolean,
-    private val queuedTokens: (EndpointId) -> Int,
+    private val queuedTokensByRank: (EndpointId) -> Map<Int, Int>,
 ) {
     private val registry = context.registry
     private val peers = context.peers
@@ -205,12 +205,15 @@
         if (manager.hasReport) registry.applyOwned(now, state, context.self.name, ownedEndpoint(state.id, manager))
     }
 
-    private fun ownedEndpoint(id: EndpointId, manager: AdapterManager): OwnedEndpoint =
-        manager.toOwnedEndpoint().copy(
-            queuedTokens = queuedTokens(id),
+    private fun ownedEndpoint(id: EndpointId, manager: AdapterManager): OwnedEndpoint {
+        val queuedByRank = queuedTokensByRank(id)
+        return manager.toOwnedEndpoint().copy(
+            queuedTokens = queuedByRank.values.sum(),
+            queuedByRank = queuedByRank,
             mayOrder = rights.usable(rights.now(), id),
             slowness = registry.get(id)?.let { Math.round(it.slowness * SLOWNESS_STEPS) / SLOWNESS_STEPS } ?: 1.0,
         )
+    }
 
     private companion object {
         // Published in steps, so that small changes cause no messages.
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
@@ -210,7 +210,7 @@
         state.ownerReportedNanos = now
         state.ownerQueuedLoads = reported.queuedLoads
         state.ownerMayOrder = reported.mayOrder
-        state.queuedTurnTokens = reported.queuedTokens
+        state.queuedTurnTokens = reported.queuedByRank ?: mapOf(0 to reported.queuedTokens)
         if (daemon != options.self.instance.name) state.slowness = reported.slowness
         val base = reported.base ?: return
         if (base in state.held) state.held[base] = HashMap(reported.adapters)
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
@@ -23,13 +23,14 @@
     private val registry = context.registry
     private val dataCentre = context.options.dataCentre
 
-    /** Chooses an endpoint for [work]; if none begins the answer within [boundMillis], the one that begins first. */
+    /** Chooses an endpoint for [work] at [rank]; if none begins the answer within [boundMillis], the one that begins first. */
     fun choose(
         now: Long,
         work: Work,
         service: ServedService,
         excluded: Set<EndpointId>,
         noLoad: Set<EndpointId>,
+        rank: Int,
         boundMillis: Double,
     ): Choice? {
         val version = registry.announcedVersion(work.base, work.adapter)
@@ -37,7 +38,7 @@
         val reachable = usable.filterNot { it.isBackingOff(now) }.ifEmpty { usable }
         val ranked = if (work.adapter == null) reachable else Rendezvous.order(work.adapter, reachable) { it.id.name }
         val choices =
-            ranked.mapIndexedNotNull { rank, state -> choice(now, work, service, version, state, rank, noLoad) }
+            ranked.mapIndexedNotNull { index, state -> choice(now, work, service, version, state, index, noLoad, rank) }
         return choices.filter { it.millis <= boundMillis }.minByOrNull { it.cost } ?: choices.minByOrNull { it.millis }
     }
 
@@ -47,20 +48,21 @@
         service: ServedService,
         version: Int?,
         state: EndpointState,
-        rank: Int,
+        adapterRank: Int,
         noLoad: Set<EndpointId>,
+        rank: Int,
     ): Choice? {
         if (!state.hasColdRoom(now, registry.coldSendsPerSecond(now, state, service))) return null
         if (!registry.hasConnectionRoom(now, state, service)) return null
         val penalty = penalty(now, work, state)
-        val wait = loads.expectedMillis(now, work, state)
+        val wait = loads.expectedMillis(now, work, state, rank)
         val engine = service.engine ?: return Choice(state, wait, wait + penalty, load = false)
         val base = work.base ?: engine.baseModels.firstOrNull()?.name ?: return null
         if (base !in state.held) return null
         if (state.holds(base, work.adapter, version)) return Choice(state, wait, wait + penalty, load = false)
         if (state.id in noLoad || !state.ownerMayOrder || !registry.ownerReachable(now, state)) return null
         val loadCount = 1 + state.ownerQueuedLoads * QUEUED_LOAD_PART
-        val cost = wait + penalty + LOAD_COST_MILLIS * loadCount + rank * RANK_COST_MILLIS
+        val cost = wait + penalty + LOAD_COST_MILLIS * loadCount + adapterRank * RANK_COST_MILLIS
         return Choice(state, wait + loadMillis() * loadCount, cost, load = true)
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
@@ -23,11 +23,18 @@
     /** Whether the owner may send orders now; without a valid right it cannot load adapters. */
     var ownerMayOrder = false
 
-    /** Prompt tokens queued for a turn, as last reported by the owner. */
-    var queuedTurnTokens = 0
+    /** Describes a pending turn request of this daemon. */
+    class RequestedTurn(val tokens: Int, val rank: Int)
 
-    /** Prompt tokens of this daemon's pending turn requests, by request id. */
-    val requestedTurns = HashMap<String, Int>()
+    /** Prompt tokens queued for a turn by rank, as last reported by the owner. */
+    var queuedTurnTokens: Map<Int, Int> = emptyMap()
+
+    /** Pending turn requests of this daemon by request id. */
+    val requestedTurns = HashMap<String, RequestedTurn>()
+
+    /** Returns the prompt tokens that wait for a turn at [rank] or a lower one. */
+    fun turnTokensAhead(rank: Int): Int = queuedTurnTokens.entries.sumOf { if (it.key <= rank) it.value else 0 } +
+        requestedTurns.values.sumOf { if (it.rank <= rank) it.tokens else 0 }
 
     /** Requests of this daemon in flight at this endpoint, whether or not their answer has begun. */
     val openRequests: Int get() = running.size + unanswered.size
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
@@ -9,12 +9,14 @@
      *
      * @property version adapter version that the endpoint must serve; null if none was announced.
      * @property expectedMillis expected time until the first part of the answer.
+     * @property rank order of the turn among the requests at the endpoint; 0 is first.
      */
     public data class Send(
         public val endpoint: EndpointId,
         public val address: String,
         public val version: Int?,
         public val expectedMillis: Double,
+        public val rank: Int = 0,
     ) : Placement
 
     /** The request waits until [endpoint] holds its adapter. */
@@ -25,12 +27,16 @@
      *
      * @property endpoint best endpoint, or null if there was none.
      * @property expectedMillis time until the first part of the answer expected at [endpoint].
+     * @property rank order of the turn that the request was refused at; null if it was refused for another reason.
+     * @property tokensAhead prompt tokens that wait for their turn at [endpoint] at the same rank or before it.
      */
     public data class Refuse(
         public val reason: RefuseReason,
         public val retryMillis: Long,
         public val endpoint: EndpointId? = null,
         public val expectedMillis: Double? = null,
+        public val rank: Int? = null,
+        public val tokensAhead: Int? = null,
     ) : Placement
 }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -36,16 +36,16 @@
         OrderRights(options, machine, clock, ports.rights),
         startedNanos,
         { noticeExchange.hasCurrentView(it) },
-    ) { turnScheduler.queuedTokens(it) }
+    ) { turnScheduler.queuedTokensByRank(it) }
     private val turnScheduler: TurnScheduler = TurnScheduler(context) { ownership.owns(it) }
     private val loads = EndpointLoads(context)
-    private val selector = EndpointSelector(context, loads) { ownership.loadMillis }
     private val meter = AccountMeter(options.self, startedNanos, options.limitSlackTokens)
     private val limits = EndpointLimits(context)
 
     /** Blocks requests whose prompt crashes endpoints. */
     public val prompts: PromptGuard = PromptGuard(context, clock, ports.promptBlocks)
     private val permits = PermitScheduler(context)
+    private val placer = RequestPlacer(context, loads, permits, prompts, random) { ownership.loadMillis }
     private val noticeExchange = NoticeExchange(context, meter, ownership, limits, prompts)
     private val retryBudgets = HashMap<String, RetryBudget>()
     private var lastTickNanos = startedNanos
@@ -152,33 +152,7 @@
         work: Work,
         tried: Set<EndpointId> = emptySet(),
         noLoad: Set<EndpointId> = emptySet(),
-    ): Placement {
-        if (prompts.block(work) != null) {
-            return Placement.Refuse(RefuseReason.BLOCKED_PROMPT, retryMillis(BLOCKED_PROMPT_RETRY_MILLIS))
-        }
-        val service = config?.services?.get(work.service)
-            ?: return Placement.Refuse(RefuseReason.NO_ENDPOINT, retryMillis(NO_ENDPOINT_RETRY_MILLIS))
-        val spentMillis = (now - work.arrivedNanos) / 1e6
-        val leftMillis = (work.deadlineNanos - now) / 1e6
-        val maxWaitMillis = minOf(work.route.targetMillis * MAX_WAIT_FACTOR - spentMillis, leftMillis * DEADLINE_PART)
-        val boundMillis = maxOf(maxWaitMillis, MIN_BOUND_MILLIS)
-        val choice = selector.choose(now, work, service, tried, noLoad, boundMillis)
-            ?: return refuseWithoutChoice(now, work, tried, noLoad)
-        if (choice.millis > boundMillis) {
-            val excessMillis = (choice.millis - boundMillis).toLong().coerceIn(
-                MIN_BUSY_RETRY_MILLIS,
-                MAX_BUSY_RETRY_MILLIS,
-            )
-            return Placement.Refuse(RefuseReason.BUSY, retryMillis(excessMillis), choice.state.id, choice.millis)
-        }
-        if (choice.load) return Placement.AwaitAdapter(choice.state.id, choice.millis)
-        return Placement.Send(
-            choice.state.id,
-            choice.state.record.address,
-            registry.announcedVersion(work.base, work.adapter),
-            choice.millis,
-        )
-    }
+    ): Placement = placer.place(now, work, tried, noLoad)
 
     /**
      * Requests the adapter of [work] at [endpoint]; [onEnd] receives whether it is loaded.
@@ -194,15 +168,20 @@
      *
      * Must be called before each send, also of a request that is sent again. [onEnd] receives whether the permission
      * was granted. Calling the result cancels the wait.
+     *
+     * @param rank rank of the [Placement.Send].
      */
-    public fun awaitTurn(now: Long, work: Work, endpoint: EndpointId, onEnd: (Boolean) -> Unit): () -> Unit {
-        // The prompt must still be read after the turn is granted.
-        val readingMillis = work.promptTokens / context.speed(work.service).tokensPerMilli
-        val turnMillis = work.route.targetMillis * MAX_WAIT_FACTOR - readingMillis
-        val untilNanos = work.arrivedNanos + (turnMillis * OrderRights.NANOS_PER_MILLI).toLong()
+    public fun awaitTurn(
+        now: Long,
+        work: Work,
+        endpoint: EndpointId,
+        rank: Int = work.priority,
+        onEnd: (Boolean) -> Unit,
+    ): () -> Unit {
+        val untilNanos = placer.turnUntilNanos(now, work, rank)
         var cancelPermit: (() -> Unit)? = null
         val cancelTurn =
-            turnScheduler.awaitTurn(now, work, endpoint, minOf(untilNanos, work.deadlineNanos)) { granted ->
+            turnScheduler.awaitTurn(now, work, endpoint, rank, minOf(untilNanos, work.deadlineNanos)) { granted ->
                 if (granted) {
                     cancelPermit = permits.awaitPermit(clock.nanos(), work, endpoint, onEnd)
                 } else {
@@ -333,6 +312,7 @@
         permits.tick(now)
         prompts.tick(now)
         ownership.tick(now)
+        placer.recordCharges(now, meter.fleetCharged)
         noticeExchange.tick(now)
     }
 
@@ -348,59 +328,14 @@
         ports.logEvent("endpoint_gone", mapOf("endpoint" to id.name))
     }
 
-    private fun refuseWithoutChoice(
-        now: Long,
-        work: Work,
-        tried: Set<EndpointId>,
-        noLoad: Set<EndpointId>,
-    ): Placement {
-        val usable = registry.usable(work.service, tried)
-        val first = registry.usable(work.service, emptySet()).minByOrNull { it.unavailableUntilNanos(now) }
-        if (first != null && first.unavailableUntilNanos(now) > now) {
-            val waitMillis = if (first.isAtLimit(now)) {
-                permits.retryMillis(now, first)
-            } else {
-                (first.pausedUntilNanos - now) / OrderRights.NANOS_PER_MILLI + 1
-            }
-            return Placement.Refuse(RefuseReason.BUSY, retryMillis(waitMillis))
-        }
-        val anyUsable = usable.isNotEmpty()
-        val reason = if (anyUsable &&
-            (noLoad.isNotEmpty() || work.adapter != null)
-        ) {
-            RefuseReason.NO_PLACE
-        } else {
-            RefuseReason.NO_ENDPOINT
-        }
-        return Placement.Refuse(reason, retryMillis(if (anyUsable) NO_PLACE_RETRY_MILLIS else NO_ENDPOINT_RETRY_MILLIS))
-    }
-
-    // Adds jitter, so that callers refused together do not retry together.
-    private fun retryMillis(millis: Long): Long = millis + random.nextLong(millis / 2 + 1)
-
     private fun retryBudget(service: String): RetryBudget = retryBudgets.getOrPut(service) {
         RetryBudget(options.repeatWindowMillis * OrderRights.NANOS_PER_MILLI, options.repeatRatio, options.repeatSlack)
     }
 
     private companion object {
-        // Maximum wait for the first part of an answer, in multiples of the route's target time. A request that is
-        // already late would take engine time from requests that can still be in time.
-        const val MAX_WAIT_FACTOR = 1.0
-        const val DEADLINE_PART = 0.8
-        const val MIN_BOUND_MILLIS = 150.0
-
         // Bounds the pause of an endpoint that requests an excessive one.
         const val MAX_ENDPOINT_PAUSE_MILLIS = 60_000L
 
-        // An unanswered prompt is read within a few hundred milliseconds; an overload lasts for seconds.
-        const val MIN_BUSY_RETRY_MILLIS = 600L
-        const val MAX_BUSY_RETRY_MILLIS = 3_000L
-        const val NO_ENDPOINT_RETRY_MILLIS = 600L
-        const val NO_PLACE_RETRY_MILLIS = 250L
-
-        // A block ends when an operator lifts it, not by itself.
-        const val BLOCKED_PROMPT_RETRY_MILLIS = 60_000L
-
         // Ticks come every 10 ms. After a longer pause the process was stopped, and messages of others are unread.
         const val PROCESS_PAUSE_NANOS = 500_000_000L
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -28,18 +28,27 @@
         @SerialName("r") public val reason: String? = null,
     ) : ServingMessage
 
-    /** Requests the turn of a request from the owner of [endpoint]; no answer comes after [waitMillis]. */
+    /**
+     * Requests the turn of a request from the owner of [endpoint]; no answer comes after [waitMillis].
+     *
+     * @property rank 0 is granted first; daemons of an earlier version send the priority.
+     */
     @Serializable
     @SerialName("t")
     public data class TurnAsk(
         @SerialName("e") public val endpoint: String,
         @SerialName("i") public val id: String,
         @SerialName("t") public val tokens: Int,
-        @SerialName("p") public val priority: Int,
+        @SerialName("p") public val rank: Int,
         @SerialName("w") public val waitMillis: Long,
     ) : ServingMessage
 
-    /** Answers a [TurnAsk]; [queuedTokens] are the prompt tokens still queued for a turn at [endpoint]. */
+    /**
+     * Answers a [TurnAsk].
+     *
+     * @property queuedTokens prompt tokens still queued for a turn at [endpoint].
+     * @property queuedByRank these tokens by rank; null if the owner does not tell.
+     */
     @Serializable
     @SerialName("g")
     public data class TurnEnd(
@@ -47,6 +56,7 @@
         @SerialName("i") public val id: String,
         @SerialName("g") public val granted: Boolean,
         @SerialName("q") public val queuedTokens: Int,
+        @SerialName("r") public val queuedByRank: Map<Int, Int>? = null,
     ) : ServingMessage
 
     /**
@@ -170,6 +180,7 @@
  *
  * @property queuedLoads loads that are queued or in progress.
  * @property queuedTokens prompt tokens of requests that are queued for their turn and not sent.
+ * @property queuedByRank these tokens by rank; null if the owner does not tell.
  * @property mayOrder whether the owner may send orders now.
  * @property slowness ratio of actual to expected time until answers begin.
  */
@@ -182,6 +193,7 @@
     @SerialName("t") public val queuedTokens: Int = 0,
     @SerialName("o") public val mayOrder: Boolean = true,
     @SerialName("s") public val slowness: Double = 1.0,
+    @SerialName("r") public val queuedByRank: Map<Int, Int>? = null,
 )
 
 /**
--- a/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.EndpointId
+import io.camphordrum.core.admission.AdmissionPolicy
 import io.camphordrum.core.turns.PromptQueue
 import io.camphordrum.core.turns.QueuedPrompt
 
@@ -12,14 +13,21 @@
     private val queues = HashMap<EndpointId, PromptQueue>()
     private val waits = HashMap<String, Wait>()
 
-    fun queuedTokens(id: EndpointId): Int = queues[id]?.queuedTokens ?: 0
+    fun queuedTokensByRank(id: EndpointId): Map<Int, Int> = queues[id]?.tokensByRank().orEmpty()
 
     /**
-     * Requests the turn of [work] at [endpoint] by [untilNanos]; calling the result cancels the wait.
+     * Requests the turn of [work] at [endpoint] by [untilNanos], in the order of [rank]; calling the result cancels the wait.
      *
      * Without a reachable owner the turn is granted at once, because no other daemon can limit the rate then.
      */
-    fun awaitTurn(now: Long, work: Work, endpoint: EndpointId, untilNanos: Long, onEnd: (Boolean) -> Unit): () -> Unit {
+    fun awaitTurn(
+        now: Long,
+        work: Work,
+        endpoint: EndpointId,
+        rank: Int,
+        untilNanos: Long,
+        onEnd: (Boolean) -> Unit,
+    ): () -> Unit {
         val state = registry.get(endpoint)
         if (state == null || context.engine(state) == null || !registry.ownerReachable(now, state)) {
             onEnd(true)
@@ -28,8 +36,8 @@
         val waitMillis = maxOf(1, (untilNanos - now) / OrderRights.NANOS_PER_MILLI)
         val endNanos = now + (waitMillis + ROUND_TRIP_MILLIS) * OrderRights.NANOS_PER_MILLI
         waits[work.id] = Wait(endpoint, endNanos, onEnd)
-        state.requestedTurns[work.id] = work.promptTokens
-        val ask = ServingMessage.TurnAsk(endpoint.name, work.id, work.promptTokens, work.priority, waitMillis)
+        state.requestedTurns[work.id] = EndpointState.RequestedTurn(work.promptTokens, rank)
+        val ask = ServingMessage.TurnAsk(endpoint.name, work.id, work.promptTokens, rank, waitMillis)
         if (owns(endpoint)) receiveTurnAsk(now, context.self.name, ask) else context.send(state.owner, ask)
         return { if (waits.remove(work.id) != null) withdraw(state, work.id) }
     }
@@ -39,9 +47,9 @@
         val id = EndpointId(ask.endpoint)
         val queue = if (owns(id)) queues.getOrPut(id) { createQueue(id) } else null
         val untilNanos = now + peerDurationNanos(ask.waitMillis)
-        val request = QueuedPrompt(from, ask.id, ask.tokens, ask.priority, untilNanos)
+        val request = QueuedPrompt(from, ask.id, ask.tokens, ask.rank.coerceIn(0, MAX_RANK), untilNanos)
         if (queue == null || !queue.add(now, request)) {
-            sendTurnEnd(from, ServingMessage.TurnEnd(ask.endpoint, ask.id, false, queue?.queuedTokens ?: 0))
+            sendTurnEnd(from, turnEnd(ask.endpoint, ask.id, false, queue?.tokensByRank().orEmpty()))
         } else {
             grantDue(now, id)
         }
@@ -49,7 +57,8 @@
 
     /** Handles the answer to a turn request of this daemon. */
     fun receiveTurnEnd(end: ServingMessage.TurnEnd) {
-        registry.get(EndpointId(end.endpoint))?.queuedTurnTokens = end.queuedTokens
+        registry.get(EndpointId(end.endpoint))?.queuedTurnTokens =
+            end.queuedByRank ?: mapOf(0 to end.queuedTokens)
         if (waits[end.id]?.endpoint?.name == end.endpoint) endWait(end.id, end.granted)
     }
 
@@ -80,7 +89,7 @@
 
     private fun createQueue(id: EndpointId): PromptQueue {
         val service = registry.get(id)?.record?.service.orEmpty()
-        return PromptQueue { context.pace(service) }
+        return PromptQueue(AdmissionPolicy.LATE_RANK) { context.pace(service) }
     }
 
     private fun grantDue(now: Long, id: EndpointId) {
@@ -95,19 +104,20 @@
         val openRequests = state.runningEverywhere(now) + state.unansweredEverywhere(now)
         val freeSlots = minOf(slots - openRequests, state.remainingColdTurns(now, registry.coldTurnsPerSecond(service)))
         val grants = queue.grantDue(now, freeSlots, state.slowness)
-        state.queuedTurnTokens = queue.queuedTokens
+        val queuedByRank = queue.tokensByRank()
+        state.queuedTurnTokens = queuedByRank
         for (request in grants.granted) {
             state.recordGrantedTurn(now, request.id, request.tokens)
-            sendTurnEnd(request.requester, ServingMessage.TurnEnd(id.name, request.id, true, queue.queuedTokens))
+            sendTurnEnd(request.requester, turnEnd(id.name, request.id, true, queuedByRank))
         }
         for (request in grants.refused) {
-            sendTurnEnd(
-                request.requester,
-                ServingMessage.TurnEnd(id.name, request.id, false, queue.queuedTokens),
-            )
+            sendTurnEnd(request.requester, turnEnd(id.name, request.id, false, queuedByRank))
         }
     }
 
+    private fun turnEnd(endpoint: String, id: String, granted: Boolean, queuedByRank: Map<Int, Int>) =
+        ServingMessage.TurnEnd(endpoint, id, granted, queuedByRank.values.sum(), queuedByRank)
+
     private fun sendTurnEnd(daemon: String, end: ServingMessage.TurnEnd) {
         if (daemon == context.self.name) receiveTurnEnd(end) else context.send(daemon, end)
     }
@@ -127,5 +137,6 @@
     private companion object {
         // Round trip to the owner, also between data centres, plus a few ticks.
         const val ROUND_TRIP_MILLIS = 100L
+        const val MAX_RANK = 63
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Work.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Work.kt
@@ -1,5 +1,7 @@
 package io.camphordrum.core.serving
 
+import io.camphordrum.core.Rendezvous
+
 /**
  * Describes one request of a caller whose route, account and service are known.
  *
@@ -9,6 +11,7 @@
  * @property promptTokens tokens that an engine reads before the first event.
  * @property newTokens prompt tokens unique to this request, so that no engine can have cached them; 0 if unknown.
  * @property promptParts ids of the prompt's parts that other requests may share, in order.
+ * @property spentBeforeMillis time between the first attempt of the caller and this one; 0 if this is the first.
  * @property deadlineNanos monotonic time by which the answer must be complete.
  */
 public data class Work(
@@ -25,4 +28,12 @@
     public val deadlineNanos: Long,
     public val newTokens: Int = 0,
     public val promptParts: List<String> = emptyList(),
-)
+    public val spentBeforeMillis: Long = 0,
+) {
+    /** 64 bits that are uniformly distributed over requests. */
+    internal val lot: Long get() = Rendezvous.mix(LOT_SEED, Rendezvous.hash(id))
+
+    private companion object {
+        const val LOT_SEED = 1L
+    }
+}
--- a/core/src/main/kotlin/io/camphordrum/core/turns/PromptQueue.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/turns/PromptQueue.kt
@@ -14,8 +14,10 @@
  * the bucket, a shorter prompt that fits passes it if each prompt that it passes still starts in time. Long prompts
  * need more of their time for reading and therefore tolerate a shorter wait. While many of them are
  * refused, all prompts of their rank are refused beyond the wait that long prompts tolerate.
+ *
+ * @param spareRank lowest rank of prompts that wait for a full bucket, so that they use only time that is left over.
  */
-internal class PromptQueue(private val pace: () -> Pace) {
+internal class PromptQueue(private val spareRank: Int = Int.MAX_VALUE, private val pace: () -> Pace) {
     /**
      * Lists prompts that leave the queue.
      *
@@ -51,8 +53,8 @@
     private var levelTokens = burstTokens
     private var refilledNanos = 0L
 
-    /** Tokens of the waiting prompts. */
-    val queuedTokens: Int get() = queued.sumOf { it.tokens }
+    /** Returns the tokens of the waiting prompts by rank. */
+    fun tokensByRank(): Map<Int, Int> = queued.groupingBy { it.rank }.fold(0) { sum, prompt -> sum + prompt.tokens }
 
     /**
      * Adds [prompt]; returns false if its turn would come too late, or would make a prompt of its rank late.
@@ -114,7 +116,9 @@
 
     private fun next(now: Long): QueuedPrompt? {
         val first = queued.firstOrNull() ?: return null
-        if (levelTokens >= min(first.tokens.toDouble(), burstTokens)) return first
+        val neededTokens = if (first.rank >= spareRank) burstTokens else min(first.tokens.toDouble(), burstTokens)
+        if (levelTokens >= neededTokens) return first
+        if (first.rank >= spareRank) return null
         var tokensAhead = 0
         var slackMillis = Double.MAX_VALUE
         for (prompt in queued) {
--- a/core/src/test/kotlin/io/camphordrum/core/serving/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LoadSimulation.kt
@@ -16,10 +16,11 @@
     val firstMillis: Long?,
     val pauseMillis: Long?,
     val refusedAfterMillis: Long?,
+    val kind: RequestKind,
 ) {
     /** Whether the first event and all pauses were within their targets. */
     val inTime: Boolean get() = firstMillis != null &&
-        firstMillis <= TARGET_MILLIS &&
+        firstMillis <= kind.route.targetMillis &&
         (pauseMillis ?: 0) <= MAX_PAUSE_MILLIS
 
     companion object {
@@ -28,16 +29,27 @@
     }
 }
 
+/** Names the route and account of requests. */
+internal data class RequestKind(val route: ServingRoute, val account: String? = null)
+
 /**
  * Runs the serving cores of several daemons against simulated engines on a manual clock.
  *
  * Each request goes through these steps: place, wait for the adapter, wait for the turn, send.
  */
-internal class LoadSimulation(daemons: Int = 3, engines: Int = 6, slots: Int = 14, seed: Int = 1) {
+internal class LoadSimulation(
+    daemons: Int = 3,
+    engines: Int = 6,
+    slots: Int = 14,
+    seed: Int = 1,
+    accounts: List<ServedAccount> = emptyList(),
+    private val events: Int = 43,
+) {
     val clock = ManualClock()
     val engines = (1..engines).map { SimulatedEngine("i-$it", slots, clock) }
     val outcomes = ArrayList<Outcome>()
 
+    private val defaultKind = RequestKind(ServingFixture().drafts)
     private val random = Random(seed)
     private val rights = FakeRightStore()
     private val daemonNames = (1..daemons).map { "edge-$it" }
@@ -60,7 +72,7 @@
             1,
             listOf(route),
             listOf(ServedService("models", 360, 0.0, limits)),
-            emptyList(),
+            accounts,
             CallerLimits(16_384, 1 shl 20, 3_000, 15_000),
         )
         for (core in cores.values) {
@@ -78,18 +90,20 @@
      *
      * @param prompt returns the prompt tokens of the next request.
      * @param adapter returns the adapter of the next request.
+     * @param kind returns the route and account of the next request.
      */
     fun traffic(
         durationMillis: Long,
         perSecond: Double,
         prompt: () -> Int = { 1_100 },
         adapter: (Random) -> String = { zipf(it, 3_000) },
+        kind: (Random) -> RequestKind = { defaultKind },
     ) {
         val end = clock.nanos + durationMillis * 1_000_000
         var next = clock.nanos.toDouble()
         while (clock.nanos < end) {
             while (next <= clock.nanos) {
-                submit(adapter(random), prompt())
+                submit(adapter(random), prompt(), kind(random))
                 next += -ln(1 - random.nextDouble()) / perSecond * 1e9
             }
             tick()
@@ -152,29 +166,29 @@
         cores.values.forEach { it.tick(clock.nanos) }
     }
 
-    private fun submit(adapter: String, prompt: Int) {
+    private fun submit(adapter: String, prompt: Int, kind: RequestKind) {
         val core = cores.getValue(daemonNames[random.nextInt(daemonNames.size)])
-        val route = ServingFixture().drafts
         val work = Work(
-            "r${nextRequestNumber++}", route, "models", null, route.priority, "m", adapter, prompt, prompt, clock.nanos,
-            clock.nanos + 12_000_000_000,
+            "r${nextRequestNumber++}", kind.route, "models", kind.account, kind.route.priority, "m", adapter, prompt,
+            prompt, clock.nanos, clock.nanos + 12_000_000_000,
         )
+        core.charge(clock.nanos, work)
         place(core, work, HashSet(), loads = 0)
     }
 
     private fun place(core: ServingCore, work: Work, noLoad: HashSet<EndpointId>, loads: Int) {
         when (val placement = core.place(clock.nanos, work, emptySet(), noLoad)) {
-            is Placement.Refuse -> recordRefusal(work)
+            is Placement.Refuse -> recordRefusal(core, work)
             is Placement.AwaitAdapter -> if (loads == 3) {
-                recordRefusal(work)
+                recordRefusal(core, work)
             } else {
                 core.awaitAdapter(clock.nanos, work, placement.endpoint) { loaded ->
                     if (!loaded) noLoad += placement.endpoint
                     place(core, work, noLoad, loads + 1)
                 }
             }
-            is Placement.Send -> core.awaitTurn(clock.nanos, work, placement.endpoint) { granted ->
-                if (granted) send(core, work, placement) else recordRefusal(work)
+            is Placement.Send -> core.awaitTurn(clock.nanos, work, placement.endpoint, placement.rank) { granted ->
+                if (granted) send(core, work, placement) else recordRefusal(core, work)
             }
         }
     }
@@ -187,7 +201,7 @@
         engine.add(
             SimulatedEngine.Job(
                 work,
-                events = 43,
+                events,
                 onFirst = {
                     firstMillis = (clock.nanos - work.arrivedNanos) / 1_000_000
                     core.recordFirstPart(
@@ -205,17 +219,23 @@
         )
     }
 
-    private fun recordRefusal(work: Work) = recordOutcome(
-        work,
-        null,
-        null,
-        (clock.nanos - work.arrivedNanos) / 1_000_000,
-    )
+    private fun recordRefusal(core: ServingCore, work: Work) {
+        core.refund(work)
+        recordOutcome(work, null, null, (clock.nanos - work.arrivedNanos) / 1_000_000)
+    }
 
     private fun recordOutcome(work: Work, firstMillis: Long?, pauseMillis: Long?, refusedMillis: Long?) {
         val arrivedMillis = (work.arrivedNanos - startNanos) / 1_000_000
         outcomes +=
-            Outcome(arrivedMillis, work.adapter.orEmpty(), work.priority, firstMillis, pauseMillis, refusedMillis)
+            Outcome(
+                arrivedMillis,
+                work.adapter.orEmpty(),
+                work.priority,
+                firstMillis,
+                pauseMillis,
+                refusedMillis,
+                RequestKind(work.route, work.account),
+            )
     }
 
     internal companion object {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -2,6 +2,7 @@
 
 import io.camphordrum.core.Clock
 import io.camphordrum.core.EndpointId
+import io.camphordrum.core.admission.ReturningCallers
 import io.camphordrum.core.serving.Placement
 import io.camphordrum.core.serving.RefuseReason
 import io.camphordrum.core.serving.ServingConfig
@@ -27,6 +28,7 @@
 ) {
     // An engine may have cached prompt parts of earlier requests, so only unseen parts count as new tokens.
     private val recentParts = RecentSet(MAX_PROMPT_PARTS)
+    private val returningCallers = ReturningCallers()
 
     private val open = LinkedHashSet<Forwarding>()
     private val witnesses = EndpointWitnesses(connections, loop)
@@ -134,6 +136,7 @@
             deadlineNanos = now + timeoutMillis * NANOS_PER_MILLI,
             newTokens = request.ownPromptPart?.let { (id, tokens) -> if (recentParts.add(id)) tokens else 0 } ?: 0,
             promptParts = request.sharedPromptParts,
+            spentBeforeMillis = returningCallers.spentMillis(route.name, request.waitMillis),
         )
         core.recordRequest(now, work.service)
         val retryMillis = core.charge(now, work)
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -120,7 +120,7 @@
             return
         }
         var decided = false
-        val cancel = core.awaitTurn(now(), work, placement.endpoint) { granted ->
+        val cancel = core.awaitTurn(now(), work, placement.endpoint, placement.rank) { granted ->
             decided = true
             cancelWait = {}
             if (!granted) turnDenied += placement.endpoint
@@ -190,6 +190,8 @@
             "turns" to turnRequests,
             "bestEndpoint" to placement?.endpoint?.name,
             "bestMillis" to placement?.expectedMillis?.toLong(),
+            "rank" to placement?.rank,
+            "tokensAhead" to placement?.tokensAhead,
             "promptTokens" to work.promptTokens,
         )
         forwarder.refuseUnavailable(exchange, request, reason, retryMillis, fields() + bestFields)
@@ -262,6 +264,8 @@
         "expectedMillis" to run?.placement?.expectedMillis?.toLong(),
         "sends" to sends,
         "loads" to loadWaits,
+        "rank" to run?.placement?.rank,
+        "spentBeforeMillis" to work.spentBeforeMillis,
         "ageMillis" to (now() - work.arrivedNanos) / NANOS_PER_MILLI,
         "config" to core.config?.version,
     )
