--- a/core/src/main/kotlin/io/camphordrum/core/load/EndpointLoads.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/EndpointLoads.kt
@@ -16,7 +16,8 @@
      */
     fun expectedMillis(now: Long, work: Work, endpoint: EndpointState, rank: Int): Double {
         val engine = context.engine(endpoint) ?: return plainMillis(now, endpoint)
-        val excessRequests = endpoint.runningEverywhere(now) + endpoint.unansweredEverywhere(now) + 1 - engine.batchSlots
+        val excessRequests =
+            endpoint.runningEverywhere(now) + endpoint.unansweredEverywhere(now) + 1 - engine.batchSlots
         val pace = context.pace(endpoint.record.service)
         val turnTokens = endpoint.turnTokensAhead(rank)
         val reading = readMillis(now, work, endpoint) + turnTokens / (pace.tokensPerMilli * pace.readingPart)
