--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.EndpointId
+import io.camphordrum.core.admission.AdmissionPolicy
 
 /** Describes the decision about a request. */
 public sealed interface Placement {
@@ -17,7 +18,10 @@
         public val version: Int?,
         public val expectedMillis: Double,
         public val rank: Int = 0,
-    ) : Placement
+    ) : Placement {
+        /** Whether the request is too late for its target and uses room that is left over. */
+        public val late: Boolean get() = rank >= AdmissionPolicy.LATE_RANK
+    }
 
     /** The request waits until [endpoint] holds its adapter. */
     public data class AwaitAdapter(public val endpoint: EndpointId, public val expectedMillis: Double) : Placement
--- a/core/src/test/kotlin/io/camphordrum/core/turns/PromptQueueTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/turns/PromptQueueTest.kt
@@ -18,6 +18,22 @@
 
     private fun grantedIds(room: Int = 64) = queue.grantDue(clock.nanos, room, slowness = 1.0).granted.map { it.id }
 
+    // Guards against late requests that take the room of those that can be in time.
+    @Test
+    fun `a prompt that is too late waits for a full bucket`() {
+        val queue = PromptQueue(spareRank = 20) { EngineSpeed().pace(eventTokens = 4, pauseMillis = 300) }
+        fun add(id: String, tokens: Int, rank: Int) =
+            assertTrue(queue.add(clock.nanos, QueuedPrompt("edge", id, tokens, rank, clock.nanos + 800_000_000)))
+        fun granted() = queue.grantDue(clock.nanos, 64, slowness = 1.0).granted.map { it.id }
+        add("first", 200, rank = 1)
+        add("late", 200, rank = 20)
+        assertEquals(listOf("first"), granted())
+        add("second", 200, rank = 1)
+        assertEquals(listOf("second"), granted())
+        clock.advance(50)
+        assertEquals(listOf("late"), granted())
+    }
+
     // Guards against pauses over 300 ms while many prompts of 1,500 tokens arrive at once.
     @Test
     fun `a burst of prompts keeps the pauses of running streams short`() {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
@@ -18,6 +18,17 @@
     /** Sends to endpoints by result. */
     val sends: Counter = counter("camphordrum_edge_sends_total", "Sends to endpoints by how they ended.", "end")
 
+    /** Requests admitted to an endpoint, by whether they can be in time. */
+    val admissions: Counter = counter(
+        "camphordrum_edge_admissions_total",
+        "Requests admitted to an endpoint, by whether they can be in time.",
+        "room",
+    )
+
+    /** Callers that were recognised as returning after a refusal. */
+    val returningCallers: Counter =
+        counter("camphordrum_edge_returning_callers_total", "Callers that return after a refusal.")
+
     /** Ends of answers that only their connection ended, or that continued a stream. */
     val answerEnds: Counter =
         counter("camphordrum_edge_answer_ends_total", "Ends of unframed and of continued answers.", "framing", "run")
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -138,6 +138,7 @@
             promptParts = request.sharedPromptParts,
             spentBeforeMillis = returningCallers.spentMillis(route.name, request.waitMillis),
         )
+        if (work.spentBeforeMillis > 0) metrics.returningCallers.inc()
         core.recordRequest(now, work.service)
         val retryMillis = core.charge(now, work)
         if (retryMillis > 0) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -143,6 +143,7 @@
             return
         }
         sends++
+        forwarder.metrics.admissions.labelValues(if (placement.late) "left_over" else "in_time").inc()
         core.recordSend(now, work, placement.endpoint)
         val remainingMillis = maxOf(1, (work.deadlineNanos - now) / NANOS_PER_MILLI)
         events?.startRun()
@@ -190,6 +191,7 @@
             "turns" to turnRequests,
             "bestEndpoint" to placement?.endpoint?.name,
             "bestMillis" to placement?.expectedMillis?.toLong(),
+            "priority" to work.priority,
             "rank" to placement?.rank,
             "tokensAhead" to placement?.tokensAhead,
             "promptTokens" to work.promptTokens,
