--- a/core/src/main/kotlin/io/camphordrum/core/serving/EngineSpeed.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EngineSpeed.kt
@@ -45,14 +45,17 @@
      *
      * The time of an event consists of its steps, the burst, and the prompts read meanwhile; the latter take
      * [Pace.readingPart] of the total.
+     *
+     * @param slowness ratio of the times of this engine to those of the service.
      */
-    fun pace(eventTokens: Int, pauseMillis: Long): Pace {
-        val fixedMillis = eventTokens * stepMillis + BURST_MILLIS
+    fun pace(eventTokens: Int, pauseMillis: Long, slowness: Double = 1.0): Pace {
+        val fixedMillis = eventTokens * stepMillis * slowness + BURST_MILLIS
         val readingPart = (1 - fixedMillis / (pauseMillis * USABLE_PAUSE_PART)).coerceIn(
             MIN_READING_PART,
             MAX_READING_PART,
         )
-        return Pace(tokensPerMilli, readingPart, BURST_MILLIS * tokensPerMilli)
+        val readTokens = tokensPerMilli / slowness
+        return Pace(readTokens, readingPart, BURST_MILLIS * readTokens)
     }
 
     internal companion object {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
@@ -89,7 +89,7 @@
 
     private fun createQueue(id: EndpointId): PromptQueue {
         val service = registry.get(id)?.record?.service.orEmpty()
-        return PromptQueue(AdmissionPolicy.LATE_RANK) { context.pace(service) }
+        return PromptQueue(AdmissionPolicy.LATE_RANK) { context.pace(service, it) }
     }
 
     private fun grantDue(now: Long, id: EndpointId) {
--- a/core/src/main/kotlin/io/camphordrum/core/turns/PromptQueue.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/turns/PromptQueue.kt
@@ -15,9 +15,11 @@
  * need more of their time for reading and therefore tolerate a shorter wait. While many of them are
  * refused, all prompts of their rank are refused beyond the wait that long prompts tolerate.
  *
+ * The pace is that of this engine: a slow one reads fewer tokens in the time of an event.
+ *
  * @param spareRank lowest rank of prompts that wait for a full bucket, so that they use only time that is left over.
  */
-internal class PromptQueue(private val spareRank: Int = Int.MAX_VALUE, private val pace: () -> Pace) {
+internal class PromptQueue(private val spareRank: Int = Int.MAX_VALUE, private val pace: (slowness: Double) -> Pace) {
     /**
      * Lists prompts that leave the queue.
      *
@@ -47,9 +49,10 @@
     private val queued = ArrayList<QueuedPrompt>()
     private val longPrompts = HashMap<Int, LongPrompts>()
     private val lateRefusals = ArrayList<QueuedPrompt>()
-    private var speed = pace().tokensPerMilli
-    private var burstTokens = pace().burstTokens
-    private var refillPerMilli = pace().let { it.tokensPerMilli * it.readingPart }
+    private var current = pace(1.0)
+    private val speed get() = current.tokensPerMilli
+    private val burstTokens get() = current.burstTokens
+    private val refillPerMilli get() = current.tokensPerMilli * current.readingPart
     private var levelTokens = burstTokens
     private var refilledNanos = 0L
 
@@ -95,10 +98,7 @@
      * @param slowness ratio of actual to expected reading time of the engine.
      */
     fun grantDue(now: Long, freeSlots: Int, slowness: Double): Grants {
-        val current = pace()
-        burstTokens = current.burstTokens
-        speed = current.tokensPerMilli / max(MIN_SLOWNESS, slowness)
-        refillPerMilli = speed * current.readingPart
+        current = pace(max(MIN_SLOWNESS, slowness))
         refill(now)
         val expired = queued.filter { now >= it.untilNanos }
         queued.removeAll(expired)
--- a/core/src/test/kotlin/io/camphordrum/core/turns/PromptLoad.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/turns/PromptLoad.kt
@@ -18,7 +18,7 @@
     private val clock = ManualClock()
     private val engine = SimulatedEngine("e", 14, clock)
     private val speed = EngineSpeed()
-    private val queue = PromptQueue { speed.pace(eventTokens = 4, pauseMillis = PAUSE_MILLIS) }
+    private val queue = PromptQueue { speed.pace(eventTokens = 4, pauseMillis = PAUSE_MILLIS, slowness = it) }
     private val fixture = ServingFixture(clock = clock)
     private val random = Random(seed)
     private val arrivedNanos = HashMap<String, Long>()
--- a/core/src/test/kotlin/io/camphordrum/core/turns/PromptQueueTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/turns/PromptQueueTest.kt
@@ -9,7 +9,7 @@
 
 class PromptQueueTest {
     private val clock = ManualClock()
-    private val queue = PromptQueue { EngineSpeed().pace(eventTokens = 4, pauseMillis = 300) }
+    private val queue = PromptQueue { EngineSpeed().pace(eventTokens = 4, pauseMillis = 300, slowness = it) }
 
     private fun addRequest(id: String, tokens: Int, priority: Int = 1, waitMillis: Long = 800) = queue.add(
         clock.nanos,
@@ -21,7 +21,7 @@
     // Guards against late requests that take the room of those that can be in time.
     @Test
     fun `a prompt that is too late waits for a full bucket`() {
-        val queue = PromptQueue(spareRank = 20) { EngineSpeed().pace(eventTokens = 4, pauseMillis = 300) }
+        val queue = PromptQueue(spareRank = 20) { EngineSpeed().pace(eventTokens = 4, pauseMillis = 300, slowness = it) }
         fun add(id: String, tokens: Int, rank: Int) =
             assertTrue(queue.add(clock.nanos, QueuedPrompt("edge", id, tokens, rank, clock.nanos + 800_000_000)))
         fun granted() = queue.grantDue(clock.nanos, 64, slowness = 1.0).granted.map { it.id }
@@ -50,6 +50,23 @@
         assertTrue(grants.size >= 28, "${grants.size} grants in 4 s")
     }
 
+    // Guards against pauses at an engine that is slower than the others of its service.
+    @Test
+    fun `a burst of prompts keeps the pauses short at a slow engine`() {
+        queue.grantDue(clock.nanos, 64, slowness = 1.6)
+        repeat(40) { addRequest("r$it", 800, waitMillis = 60_000) }
+        val grants = ArrayList<Long>()
+        repeat(400) {
+            clock.advance(10)
+            repeat(queue.grantDue(clock.nanos, 64, slowness = 1.6).granted.size) { grants += clock.nanos / 1_000_000 }
+        }
+        for (at in grants) {
+            val read = grants.count { it in at until at + 300 } * 800
+            assertTrue(read / (19.1 / 1.6) + 4 * 10 * 1.6 < 300, "$read tokens in 300 ms")
+        }
+        assertTrue(grants.size >= 20, "${grants.size} grants in 4 s")
+    }
+
     @Test
     fun `a prompt larger than the bucket is granted its turn when the bucket is full`() {
         grantedIds()
