--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
@@ -8,12 +8,12 @@
  * Chooses the endpoint with the lowest cost among those where the answer begins in time.
  *
  * The expected time at an endpoint consists of the requests that are ahead there and the load of the adapter if it is
- * not held. The cost adds traffic between data centres, recent failures, and the slot and the fetch that a copy of an
- * adapter needs. If an adapter must be loaded, its rendezvous rank decides, so that daemons choose the same endpoint
- * without coordination.
+ * not held. The cost adds traffic between data centres, streams that a long prompt delays, recent failures, and the
+ * slot and the fetch that a copy of an adapter needs. If an adapter must be loaded, its rendezvous rank decides, so that
+ * daemons choose the same endpoint without coordination.
  */
 internal class EndpointSelector(
-    context: ServingContext,
+    private val context: ServingContext,
     private val loads: EndpointLoads,
     private val loadMillis: () -> Double,
 ) {
@@ -68,7 +68,9 @@
 
     private fun penalty(now: Long, work: Work, state: EndpointState): Double {
         val remoteMillis = if (state.record.dataCentre == dataCentre) 0.0 else REMOTE_MILLIS
-        return remoteMillis + state.failureRate(now) * FAILURE_COST_FACTOR * work.route.targetMillis
+        val exceedsPause = context.exceedsPause(work.service, work.promptTokens, state.slowness)
+        val pauseMillis = if (exceedsPause) state.runningEverywhere(now) * STREAM_PAUSE_MILLIS else 0.0
+        return remoteMillis + pauseMillis + state.failureRate(now) * FAILURE_COST_FACTOR * work.route.targetMillis
     }
 
     private companion object {
@@ -82,6 +84,10 @@
         // Traffic between data centres is expensive; a short wait in the own data centre is preferable.
         const val REMOTE_MILLIS = 60.0
 
+        // Cost of each running stream that pauses too long while an engine reads a long prompt. Faster engines, and those
+        // with few streams, are preferable for it.
+        const val STREAM_PAUSE_MILLIS = 50.0
+
         // Cost of an endpoint at which all recent requests failed, in multiples of the route's target time.
         const val FAILURE_COST_FACTOR = 1.5
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EngineSpeed.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EngineSpeed.kt
@@ -58,6 +58,10 @@
         return Pace(readTokens, readingPart, BURST_MILLIS * readTokens)
     }
 
+    /** Returns whether reading [promptTokens] at once makes an event of [eventTokens] later than [pauseMillis]. */
+    fun exceedsPause(promptTokens: Int, eventTokens: Int, pauseMillis: Long, slowness: Double): Boolean =
+        (promptTokens / tokensPerMilli + eventTokens * stepMillis) * slowness > pauseMillis * USABLE_PAUSE_PART
+
     internal companion object {
         // Starting points until answers have been observed.
         const val INITIAL_TOKENS_PER_MILLI = 20.0
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingContext.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingContext.kt
@@ -23,6 +23,13 @@
         return speed(service).pace(events, config?.pauseMillis(service) ?: DEFAULT_PAUSE_MILLIS, slowness)
     }
 
+    /** Returns whether the streams at an engine of [service] with [slowness] pause too long while it reads a prompt. */
+    fun exceedsPause(service: String, promptTokens: Int, slowness: Double): Boolean {
+        val engine = config?.services?.get(service)?.engine ?: return false
+        val pauseMillis = config?.pauseMillis(service) ?: return false
+        return speed(service).exceedsPause(promptTokens, engine.eventTokens, pauseMillis, slowness)
+    }
+
     val self: InstanceId get() = options.self.instance
 
     fun engine(state: EndpointState): EngineLimits? = config?.services?.get(state.record.service)?.engine
--- a/core/src/test/kotlin/io/camphordrum/core/turns/PromptQueueTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/turns/PromptQueueTest.kt
@@ -21,7 +21,8 @@
     // Guards against late requests that take the room of those that can be in time.
     @Test
     fun `a prompt that is too late waits for a full bucket`() {
-        val queue = PromptQueue(spareRank = 20) { EngineSpeed().pace(eventTokens = 4, pauseMillis = 300, slowness = it) }
+        val queue =
+            PromptQueue(spareRank = 20) { EngineSpeed().pace(eventTokens = 4, pauseMillis = 300, slowness = it) }
         fun add(id: String, tokens: Int, rank: Int) =
             assertTrue(queue.add(clock.nanos, QueuedPrompt("edge", id, tokens, rank, clock.nanos + 800_000_000)))
         fun granted() = queue.grantDue(clock.nanos, 64, slowness = 1.0).granted.map { it.id }
