--- a/core/src/main/kotlin/io/camphordrum/core/serving/RequestPlacer.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/RequestPlacer.kt
@@ -27,6 +27,7 @@
 
     /** Records the tokens that all daemons have charged to accounts. */
     fun recordCharges(now: Long, charged: Map<String, Long>) {
+        if (!shares.isDue(now)) return
         val limits = context.config?.accounts.orEmpty().filter { it.tokensPerSecond > 0 }
         shares.update(now, charged, limits.associate { it.name to it.tokensPerSecond })
     }
