--- a/core/src/main/kotlin/io/camphordrum/core/serving/EngineSpeed.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EngineSpeed.kt
@@ -1,13 +1,6 @@
 package io.camphordrum.core.serving
 
-/**
- * Bounds the rate at which prompts may be sent to an engine.
- *
- * @property tokensPerMilli prompt tokens that the engine reads in a millisecond when it does nothing else.
- * @property readingPart part of the engine's time that may be spent reading prompts.
- * @property burstTokens prompt tokens that may be sent at once.
- */
-internal data class Pace(val tokensPerMilli: Double, val readingPart: Double, val burstTokens: Double)
+import io.camphordrum.core.turns.Pace
 
 /**
  * Estimates how fast the engines of one service read prompts and generate tokens, from the answers passed through.
@@ -52,16 +45,23 @@
      *
      * The time of an event consists of its steps, the burst, and the prompts read meanwhile; the latter take
      * [Pace.readingPart] of the total.
+     *
+     * @param slowness ratio of the times of this engine to those of the service.
      */
-    fun pace(eventTokens: Int, pauseMillis: Long): Pace {
-        val fixedMillis = eventTokens * stepMillis + BURST_MILLIS
+    fun pace(eventTokens: Int, pauseMillis: Long, slowness: Double = 1.0): Pace {
+        val fixedMillis = eventTokens * stepMillis * slowness + BURST_MILLIS
         val readingPart = (1 - fixedMillis / (pauseMillis * USABLE_PAUSE_PART)).coerceIn(
             MIN_READING_PART,
             MAX_READING_PART,
         )
-        return Pace(tokensPerMilli, readingPart, BURST_MILLIS * tokensPerMilli)
+        val readTokens = tokensPerMilli / slowness
+        return Pace(readTokens, readingPart, BURST_MILLIS * readTokens)
     }
 
+    /** Returns whether reading [promptTokens] at once makes an event of [eventTokens] later than [pauseMillis]. */
+    fun exceedsPause(promptTokens: Int, eventTokens: Int, pauseMillis: Long, slowness: Double): Boolean =
+        (promptTokens / tokensPerMilli + eventTokens * stepMillis) * slowness > pauseMillis * USABLE_PAUSE_PART
+
     internal companion object {
         // Starting points until answers have been observed.
         const val INITIAL_TOKENS_PER_MILLI = 20.0
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingContext.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingContext.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.InstanceId
+import io.camphordrum.core.turns.Pace
 
 /** Holds the state that the parts of a [ServingCore] share and sends their messages to other daemons. */
 internal class ServingContext(
@@ -16,10 +17,17 @@
     /** Returns the estimated speed of the engines of [service]. */
     fun speed(service: String): EngineSpeed = speeds.getOrPut(service) { EngineSpeed() }
 
-    /** Returns the rate at which prompts may be sent to the engines of [service]. */
-    fun pace(service: String): Pace {
+    /** Returns the rate at which prompts may be sent to an engine of [service] with [slowness]. */
+    fun pace(service: String, slowness: Double = 1.0): Pace {
         val events = config?.services?.get(service)?.engine?.eventTokens ?: EngineLimits.EVENT_TOKENS
-        return speed(service).pace(events, config?.pauseMillis(service) ?: DEFAULT_PAUSE_MILLIS)
+        return speed(service).pace(events, config?.pauseMillis(service) ?: DEFAULT_PAUSE_MILLIS, slowness)
+    }
+
+    /** Returns whether the streams at an engine of [service] with [slowness] pause too long while it reads a prompt. */
+    fun exceedsPause(service: String, promptTokens: Int, slowness: Double): Boolean {
+        val engine = config?.services?.get(service)?.engine ?: return false
+        val pauseMillis = config?.pauseMillis(service) ?: return false
+        return speed(service).exceedsPause(promptTokens, engine.eventTokens, pauseMillis, slowness)
     }
 
     val self: InstanceId get() = options.self.instance
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -120,7 +120,7 @@
             return
         }
         var decided = false
-        val cancel = core.awaitTurn(now(), work, placement.endpoint) { granted ->
+        val cancel = core.awaitTurn(now(), work, placement.endpoint, placement.rank) { granted ->
             decided = true
             cancelWait = {}
             if (!granted) turnDenied += placement.endpoint
@@ -143,6 +143,7 @@
             return
         }
         sends++
+        forwarder.metrics.admissions.labelValues(if (placement.late) "left_over" else "in_time").inc()
         core.recordSend(now, work, placement.endpoint)
         val remainingMillis = maxOf(1, (work.deadlineNanos - now) / NANOS_PER_MILLI)
         events?.startRun()
@@ -190,6 +191,9 @@
             "turns" to turnRequests,
             "bestEndpoint" to placement?.endpoint?.name,
             "bestMillis" to placement?.expectedMillis?.toLong(),
+            "priority" to work.priority,
+            "rank" to placement?.rank,
+            "tokensAhead" to placement?.tokensAhead,
             "promptTokens" to work.promptTokens,
         )
         forwarder.refuseUnavailable(exchange, request, reason, retryMillis, fields() + bestFields)
@@ -262,6 +266,8 @@
         "expectedMillis" to run?.placement?.expectedMillis?.toLong(),
         "sends" to sends,
         "loads" to loadWaits,
+        "rank" to run?.placement?.rank,
+        "spentBeforeMillis" to work.spentBeforeMillis,
         "ageMillis" to (now() - work.arrivedNanos) / NANOS_PER_MILLI,
         "config" to core.config?.version,
     )
