--- a/core/src/main/kotlin/io/camphordrum/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/admission/AdmissionPolicy.kt
@@ -14,12 +14,12 @@
  * | rank | requests |
  * |---|---|
  * | priority, 0 to 9 | can be in time; one in [FLOOR_PARTS] of each kind ranks as 0, so that none is starved |
- * | priority + [EXCESS_LEVELS] | can be in time; the part of an account's requests beyond its fair share ([AccountShares]) |
+ * | priority + [EXCESS_LEVELS] | can be in time; beyond its account's fair share ([AccountShares]) |
  * | 20 | too late for its target; its caller has returned after a refusal |
  * | 21 | too late for its target |
  *
- * Requests that are too late use only room that is left over: an endpoint where no request waits that can be in time. All
- * other requests are refused at once if their answer is not expected to begin in time.
+ * Requests that are too late use only room that is left over: an endpoint where no request waits that can be in time.
+ * All other requests are refused at once if their answer is not expected to begin in time.
  */
 internal class AdmissionPolicy(private val shares: AccountShares) {
     private val returns = ReturnTimes()
--- a/core/src/main/kotlin/io/camphordrum/core/admission/ReturningCallers.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/admission/ReturningCallers.kt
@@ -3,9 +3,9 @@
 /**
  * Recognises callers that return after a refusal by the time that they still wait.
  *
- * A caller states how long it waits for its answer, and a returning one states what is left of that time. Any daemon can
- * thus tell how long ago the first attempt was, without state of its own about refused requests. The callers of a route
- * mostly begin with the same wait; a wait that was seen several times is a first attempt.
+ * A caller states how long it waits for its answer, and a returning one states what is left of that time. Any daemon
+ * can thus tell how long ago the first attempt was, without state of its own about refused requests. The callers of a
+ * route mostly begin with the same wait; a wait that was seen several times is a first attempt.
  */
 public class ReturningCallers {
     private class Waits {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
@@ -9,8 +9,8 @@
  *
  * The expected time at an endpoint consists of the requests that are ahead there and the load of the adapter if it is
  * not held. The cost adds traffic between data centres, streams that a long prompt delays, recent failures, and the
- * slot and the fetch that a copy of an adapter needs. If an adapter must be loaded, its rendezvous rank decides, so that
- * daemons choose the same endpoint without coordination.
+ * slot and the fetch that a copy of an adapter needs. If an adapter must be loaded, its rendezvous rank decides, so
+ * that daemons choose the same endpoint without coordination.
  */
 internal class EndpointSelector(
     private val context: ServingContext,
@@ -20,10 +20,22 @@
     /** Pairs an endpoint with its expected time and cost, and whether the adapter must be loaded first. */
     class Choice(val state: EndpointState, val millis: Double, val cost: Double, val load: Boolean)
 
+    /** Holds what is the same for all endpoints in one choice. */
+    private class Query(
+        val work: Work,
+        val service: ServedService,
+        val version: Int?,
+        val noLoad: Set<EndpointId>,
+        val rank: Int,
+    )
+
     private val registry = context.registry
     private val dataCentre = context.options.dataCentre
 
-    /** Chooses an endpoint for [work] at [rank]; if none begins the answer within [boundMillis], the one that begins first. */
+    /**
+     * Chooses an endpoint for [work] at [rank]; if none begins the answer within [boundMillis], the one that begins
+     * first.
+     */
     fun choose(
         now: Long,
         work: Work,
@@ -33,34 +45,26 @@
         rank: Int,
         boundMillis: Double,
     ): Choice? {
-        val version = registry.announcedVersion(work.base, work.adapter)
+        val query = Query(work, service, registry.announcedVersion(work.base, work.adapter), noLoad, rank)
         val usable = registry.usable(work.service, excluded).filterNot { it.isPaused(now) || it.isAtLimit(now) }
         val reachable = usable.filterNot { it.isBackingOff(now) }.ifEmpty { usable }
         val ranked = if (work.adapter == null) reachable else Rendezvous.order(work.adapter, reachable) { it.id.name }
         val choices =
-            ranked.mapIndexedNotNull { index, state -> choice(now, work, service, version, state, index, noLoad, rank) }
+            ranked.mapIndexedNotNull { index, state -> choice(now, query, state, index) }
         return choices.filter { it.millis <= boundMillis }.minByOrNull { it.cost } ?: choices.minByOrNull { it.millis }
     }
 
-    private fun choice(
-        now: Long,
-        work: Work,
-        service: ServedService,
-        version: Int?,
-        state: EndpointState,
-        adapterRank: Int,
-        noLoad: Set<EndpointId>,
-        rank: Int,
-    ): Choice? {
-        if (!state.hasColdRoom(now, registry.coldSendsPerSecond(now, state, service))) return null
-        if (!registry.hasConnectionRoom(now, state, service)) return null
+    private fun choice(now: Long, query: Query, state: EndpointState, adapterRank: Int): Choice? {
+        if (!state.hasColdRoom(now, registry.coldSendsPerSecond(now, state, query.service))) return null
+        if (!registry.hasConnectionRoom(now, state, query.service)) return null
+        val work = query.work
         val penalty = penalty(now, work, state)
-        val wait = loads.expectedMillis(now, work, state, rank)
-        val engine = service.engine ?: return Choice(state, wait, wait + penalty, load = false)
+        val wait = loads.expectedMillis(now, work, state, query.rank)
+        val engine = query.service.engine ?: return Choice(state, wait, wait + penalty, load = false)
         val base = work.base ?: engine.baseModels.firstOrNull()?.name ?: return null
         if (base !in state.held) return null
-        if (state.holds(base, work.adapter, version)) return Choice(state, wait, wait + penalty, load = false)
-        if (state.id in noLoad || !state.ownerMayOrder || !registry.ownerReachable(now, state)) return null
+        if (state.holds(base, work.adapter, query.version)) return Choice(state, wait, wait + penalty, load = false)
+        if (state.id in query.noLoad || !state.ownerMayOrder || !registry.ownerReachable(now, state)) return null
         val loadCount = 1 + state.ownerQueuedLoads * QUEUED_LOAD_PART
         val cost = wait + penalty + LOAD_COST_MILLIS * loadCount + adapterRank * RANK_COST_MILLIS
         return Choice(state, wait + loadMillis() * loadCount, cost, load = true)
@@ -84,8 +88,8 @@
         // Traffic between data centres is expensive; a short wait in the own data centre is preferable.
         const val REMOTE_MILLIS = 60.0
 
-        // Cost of each running stream that pauses too long while an engine reads a long prompt. Faster engines, and those
-        // with few streams, are preferable for it.
+        // Cost of each running stream that pauses too long while an engine reads a long prompt. Faster engines, and
+        // those with few streams, are preferable for it.
         const val STREAM_PAUSE_MILLIS = 50.0
 
         // Cost of an endpoint at which all recent requests failed, in multiples of the route's target time.
--- a/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
@@ -16,7 +16,8 @@
     fun queuedTokensByRank(id: EndpointId): Map<Int, Int> = queues[id]?.tokensByRank().orEmpty()
 
     /**
-     * Requests the turn of [work] at [endpoint] by [untilNanos], in the order of [rank]; calling the result cancels the wait.
+     * Requests the turn of [work] at [endpoint] by [untilNanos], in the order of [rank]; calling the result cancels the
+     * wait.
      *
      * Without a reachable owner the turn is granted at once, because no other daemon can limit the rate then.
      */
