--- a/core/src/main/kotlin/io/camphordrum/core/serving/FleetDigest.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/FleetDigest.kt
@@ -18,7 +18,6 @@
  * @property charged charges by daemon.
  * @property prompts what the sender knows about prompts that may crash endpoints; null if nothing.
  * @property limits rate limits of endpoints that daemons have observed in answers; the newest of each endpoint.
- * @property confirmations what the sender knows of the kinds of the store.
  */
 @Serializable
 @SerialName("f")
@@ -33,7 +32,6 @@
     @SerialName("c") public val charged: List<DaemonCharges>,
     @SerialName("m") public val limits: List<ReportedLimit> = emptyList(),
     @SerialName("p") public val prompts: PromptReport? = null,
-    @SerialName("k") public val confirmations: List<KindConfirmation> = emptyList(),
 ) : ServingMessage
 
 /** Pairs an endpoint with the daemon that owns it. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
@@ -127,9 +127,6 @@
         registry.applyDigest(now, name, load, if (fromOwnRelay) ownLoad else emptyMap(), digest.owned)
         limits.applyReports(now, digest.limits)
         digest.prompts?.let { prompts.receive(now, it) }
-        for (confirmation in digest.confirmations) {
-            context.ports.storeKnowledge.receive(confirmation, now - peerDurationNanos(confirmation.ageMillis))
-        }
         if (fullDigestReceivedFrom[name] != digest.sender.incarnation) return
         for (charges in digest.charged) {
             meter.recordPeerCharges(now, charges.member, charges.sequence, charges.charged)
@@ -162,7 +159,6 @@
                 localCharges.next(),
                 limitsInReports(now) + remoteLimits(now),
                 prompts.report(now),
-                context.ports.storeKnowledge.confirmations(),
             )
         val full by lazy {
             changes.copy(full = true, owned = publishedOwned.values.toList(), charged = localCharges.all())
@@ -230,7 +226,6 @@
                 remoteCharges.next(),
                 limitsInReports(now),
                 prompts.report(now),
-                context.ports.storeKnowledge.confirmations(),
             )
         }
         val remoteDataCentres = peers.others.mapTo(HashSet()) { it.dataCentre } - dataCentre
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingPorts.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingPorts.kt
@@ -9,5 +9,4 @@
     public val logEvent: (event: String, fields: Map<String, Any?>) -> Unit,
     public val probe: EndpointProbe = EndpointProbe { _, onEnd -> onEnd(ProbeResult.NO_ANSWER) },
     public val promptBlocks: PromptBlockStore = PromptBlockStore { _, onEnd -> onEnd(false) },
-    public val storeKnowledge: StoreKnowledge = StoreKnowledge.None,
 )
