Serve the duties that one daemon of a deployment has at a time

Deployments expect reports of the use of accounts and orders of numbers of endpoints from one daemon at a time; nothing sent them. One right in the store names the holder, every daemon counts the requests that began, and the counts reach the holder in notices and digests.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/FleetDigest.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/FleetDigest.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.Member
+import io.camphordrum.core.duty.DutyNews
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -18,6 +19,7 @@
  * @property charged charges by daemon.
  * @property prompts what the sender knows about prompts that may crash endpoints; null if nothing.
  * @property limits rate limits of endpoints that daemons have observed in answers; the newest of each endpoint.
+ * @property duties holder of the duties and counts for it; null if the deployment has no duties.
  */
 @Serializable
 @SerialName("f")
@@ -32,6 +34,7 @@
     @SerialName("c") public val charged: List<DaemonCharges>,
     @SerialName("m") public val limits: List<ReportedLimit> = emptyList(),
     @SerialName("p") public val prompts: PromptReport? = null,
+    @SerialName("u") public val duties: DutyNews? = null,
 ) : ServingMessage
 
 /** Pairs an endpoint with the daemon that owns it. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.serving
 
+import io.camphordrum.core.duty.Duties
 import kotlin.random.Random
 
 /**
@@ -13,11 +14,12 @@
     private val ownership: EndpointOwnership,
     private val limits: EndpointLimits,
     private val prompts: PromptGuard,
+    private val duties: Duties?,
 ) {
     private val peers = context.peers
     private val registry = context.registry
     private val options = context.options
-    private val relays = Relays(context, meter, limits, prompts, ::buildNotice)
+    private val relays = Relays(context, meter, limits, prompts, duties, ::buildNotice)
     private var sequence = 0L
     private var localSentNanos = Long.MIN_VALUE / 2
     private var remoteSentNanos = Long.MIN_VALUE / 2
@@ -31,6 +33,7 @@
     fun excludePause(nanos: Long) {
         peers.excludePause(nanos)
         relays.excludePause(nanos)
+        duties?.excludePause(nanos)
     }
 
     fun receive(now: Long, notice: ServingNotice) {
@@ -45,6 +48,7 @@
         registry.applyNotice(now, from, notice)
         limits.applyReports(now, notice.limits)
         notice.prompts?.let { prompts.receive(now, it) }
+        notice.duties?.let { duties?.receive(now, it) }
         if (peers.get(from.instance.name)?.dataCentre == options.dataCentre) relays.receiveReport(now, notice)
         ownership.reassert()
     }
@@ -84,7 +88,7 @@
     private fun sendToEach(now: Long, includeRemote: Boolean) {
         val targets = peers.others.filter { includeRemote || it.dataCentre == options.dataCentre }
         if (targets.isEmpty()) return
-        val notice = buildNotice(now, peers.directNoticeAgesMillis(now))
+        val notice = buildNotice(now, peers.directNoticeAgesMillis(now)).copy(duties = duties?.newsToAll(now))
         for (daemon in targets) {
             val name = daemon.member.instance.name
             if (peers.isOutboundBroken(now, name)) context.ports.reconnect(daemon)
--- a/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
@@ -47,7 +47,13 @@
     /** Returns whether an order may be sent to [endpoint] now. */
     fun usable(now: Long, endpoint: EndpointId): Boolean {
         val right = heldRights[endpoint] ?: return false
-        if (leaving || now < right.usableFromNanos || now - right.readNanos > VALID_NANOS) return false
+        return now >= right.usableFromNanos && isCurrent(now, endpoint)
+    }
+
+    /** Returns whether the right to [endpoint] is held and was read recently, also while it is not usable yet. */
+    fun isCurrent(now: Long, endpoint: EndpointId): Boolean {
+        val right = heldRights[endpoint] ?: return false
+        if (leaving || now - right.readNanos > VALID_NANOS) return false
         val stepMillis = (clock.epochMillis() - right.readEpochMillis) - (now - right.readNanos) / NANOS_PER_MILLI
         return abs(stepMillis) <= MAX_CLOCK_STEP_MILLIS
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
@@ -52,6 +52,8 @@
 
     fun get(daemon: String): RegisteredDaemon? = registered[daemon]
 
+    fun all(): Collection<RegisteredDaemon> = registered.values
+
     fun inDataCentre(id: DataCentreId): List<RegisteredDaemon> = registered.values.filter { it.dataCentre == id }
 
     /** Records a notice received from its sender; returns whether its charges are new. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.duty.Duties
 
 /**
  * Distributes notices in a large fleet.
@@ -16,6 +17,7 @@
     private val meter: AccountMeter,
     private val limits: EndpointLimits,
     private val prompts: PromptGuard,
+    private val duties: Duties?,
     private val buildNotice: (now: Long, noticeAgesMillis: Map<String, Long>) -> ServingNotice,
 ) {
     private class ReceivedReport(val notice: ServingNotice, val receivedNanos: Long)
@@ -87,7 +89,7 @@
         reports.values.removeAll { now - it.receivedNanos > REPORT_MAX_AGE_NANOS }
         digests.values.removeAll { now - it.receivedNanos > DIGEST_MAX_AGE_NANOS }
         val isRelay = relay.member.instance == self.instance
-        if (!isRelay) context.ports.send(relay, notice)
+        if (!isRelay) context.ports.send(relay, notice.copy(duties = duties?.newsToRelay(now, relay)))
         if (!isRelay && reports.size == 1) return
         sequence++
         sendLocalDigests(now, isRelay)
@@ -127,6 +129,7 @@
         registry.applyDigest(now, name, load, if (fromOwnRelay) ownLoad else emptyMap(), digest.owned)
         limits.applyReports(now, digest.limits)
         digest.prompts?.let { prompts.receive(now, it) }
+        digest.duties?.let { duties?.receive(now, it) }
         if (fullDigestReceivedFrom[name] != digest.sender.incarnation) return
         for (charges in digest.charged) {
             meter.recordPeerCharges(now, charges.member, charges.sequence, charges.charged)
@@ -159,6 +162,7 @@
                 localCharges.next(),
                 limitsInReports(now) + remoteLimits(now),
                 prompts.report(now),
+                duties?.news(now),
             )
         val full by lazy {
             changes.copy(full = true, owned = publishedOwned.values.toList(), charged = localCharges.all())
@@ -171,7 +175,7 @@
                 fullDigestSentTo.put(name, report.notice.sender.incarnation) == report.notice.sender.incarnation
             // A full digest may be lost with its connection, and its receiver ignores all charges until it has one.
             val resend = Math.floorMod(name.hashCode() + sequence, DIGESTS_PER_FULL_DIGEST) == 0L
-            context.ports.send(daemon, if (incremental && !resend) changes else full)
+            sendDigest(now, daemon, if (incremental && !resend) changes else full)
         }
     }
 
@@ -226,6 +230,7 @@
                 remoteCharges.next(),
                 limitsInReports(now),
                 prompts.report(now),
+                duties?.news(now),
             )
         }
         val remoteDataCentres = peers.others.mapTo(HashSet()) { it.dataCentre } - dataCentre
@@ -235,13 +240,13 @@
             val full =
                 fullDigestSentTo.put(receiver.member.instance.name, receiver.member.incarnation) !=
                     receiver.member.incarnation
-            context.ports.send(
-                receiver,
-                if (full) changes.copy(full = true, charged = remoteCharges.all()) else changes,
-            )
+            sendDigest(now, receiver, if (full) changes.copy(full = true, charged = remoteCharges.all()) else changes)
         }
     }
 
+    private fun sendDigest(now: Long, receiver: RegisteredDaemon, digest: FleetDigest) =
+        context.ports.send(receiver, duties?.addCounts(now, digest, receiver, reports.keys) ?: digest)
+
     private fun ownedInReports(): List<OwnedBy> =
         reports.values.flatMap { report -> report.notice.owned.map { OwnedBy(report.notice.sender.instance.name, it) } }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServedService.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServedService.kt
@@ -7,6 +7,7 @@
  * @property coldRequestsPerSecond request rate that a cold endpoint can handle; 0 means no limit for cold endpoints.
  * @property engine limits of the engines; null for plain services.
  * @property healthCheckPath target of a GET request that asks a plain endpoint whether it is alive; null if unknown.
+ * @property scale bounds of the number of endpoints that is ordered; null if their number is not ordered.
  */
 public data class ServedService(
     public val name: String,
@@ -14,8 +15,16 @@
     public val coldRequestsPerSecond: Double,
     public val engine: EngineLimits? = null,
     public val healthCheckPath: String? = null,
+    public val scale: ScaleBounds? = null,
 )
 
+/**
+ * Bounds the number of endpoints of a service in each data centre.
+ *
+ * @property bootMillis time from an order until a new endpoint serves.
+ */
+public data class ScaleBounds(public val minimum: Int, public val maximum: Int, public val bootMillis: Long)
+
 /**
  * Describes the limits of one engine of a service.
  *
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingConfig.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingConfig.kt
@@ -34,6 +34,15 @@
     /** Returns the shortest pause between events that a route requires of the streams of [service], or null. */
     public fun pauseMillis(service: String): Long? = pauses[service]
 
+    // Shortest target of a route that sends requests to a service, by service.
+    private val targets: Map<String, Long> = routes
+        .flatMap { route -> route.services.map { it.service to route.targetMillis } }
+        .groupBy({ it.first }, { it.second })
+        .mapValues { it.value.min() }
+
+    /** Returns the shortest target for the first part of an answer among the routes of [service], or null. */
+    public fun targetMillis(service: String): Long? = targets[service]
+
     /** Returns the route of [host] with the longest prefix that [path] starts with, or null. */
     public fun route(host: String, path: String): ServingRoute? =
         routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -4,6 +4,7 @@
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.EndpointId
 import io.camphordrum.core.Member
+import io.camphordrum.core.duty.Duties
 import kotlin.random.Random
 
 /**
@@ -44,7 +45,9 @@
     /** Blocks requests whose prompt crashes endpoints. */
     public val prompts: PromptGuard = PromptGuard(context, clock, ports.promptBlocks)
     private val permits = PermitScheduler(context)
-    private val noticeExchange = NoticeExchange(context, meter, ownership, limits, prompts)
+    private val duties =
+        options.duties?.let { Duties(it, requireNotNull(ports.duties), context, clock, machine, startedNanos) }
+    private val noticeExchange = NoticeExchange(context, meter, ownership, limits, prompts, duties)
     private val retryBudgets = HashMap<String, RetryBudget>()
     private var lastTickNanos = startedNanos
 
@@ -57,6 +60,12 @@
     /** Number of endpoints that this daemon owns. */
     public val ownedCount: Int get() = ownership.count
 
+    /** Whether this daemon holds the right to the duties of the deployment. */
+    public val isDutyHolder: Boolean get() = duties?.isHolder == true
+
+    /** Number of usage windows that this daemon, as the holder, could not report in time. */
+    public val missedUsageWindows: Long get() = duties?.missedWindows ?: 0
+
     /** Number of endpoints that announce a rate limit. */
     public val limitedEndpointCount: Int get() = registry.all.count { it.announcedLimit.perSecond != null }
 
@@ -115,8 +124,11 @@
     public fun replaceDaemons(daemons: Collection<RegisteredDaemon>): Unit = peers.replaceRegistered(daemons)
 
     /** Charges [work] to its account; returns 0, or the milliseconds after which the caller may retry. */
-    public fun charge(now: Long, work: Work): Long =
-        work.account?.let { meter.charge(now, it, work.chargedTokens) } ?: 0
+    public fun charge(now: Long, work: Work): Long {
+        val retryMillis = work.account?.let { meter.charge(now, it, work.chargedTokens) } ?: 0
+        if (retryMillis == 0L) duties?.recordArrival(work)
+        return retryMillis
+    }
 
     /** Refunds the charge of [work], which has not run. */
     public fun refund(work: Work) {
@@ -230,10 +242,12 @@
         if (work.base != null) state.expectedReadMillis[work.id] = selector.readMillis(now, work, state)
         state.unanswered[work.id] = work
         state.recordSend(now)
+        duties?.recordSend(now, work, endpoint.name)
     }
 
     /** Records that the answer of [work] began [actualMillis] after the request was sent. */
     public fun recordFirstPart(work: Work, endpoint: EndpointId, expectedMillis: Double, actualMillis: Double) {
+        duties?.recordFirstPart(clock.nanos(), work, endpoint.name)
         val state = registry.get(endpoint) ?: return
         val sent = state.unanswered.remove(work.id) ?: return
         state.running[work.id] = sent
@@ -283,6 +297,7 @@
 
     /** Records how the run of [work] at [endpoint] ended. */
     public fun recordRunEnd(now: Long, work: Work, endpoint: EndpointId, end: RunEnd) {
+        duties?.recordRunEnd(now, work, endpoint.name, ran = end == RunEnd.COMPLETE || end == RunEnd.FAILED)
         val state = registry.get(endpoint) ?: return
         state.unanswered.remove(work.id)
         state.running.remove(work.id)
@@ -331,6 +346,7 @@
         permits.tick(now)
         prompts.tick(now)
         ownership.tick(now)
+        duties?.tick(now)
         noticeExchange.tick(now)
     }
 
@@ -338,6 +354,7 @@
     public fun leave() {
         ownership.leave()
         turnScheduler.leave()
+        duties?.leave()
         noticeExchange.leave()
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.Member
+import io.camphordrum.core.duty.DutyNews
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -133,6 +134,7 @@
  * @property relayed charges of other daemons, so that daemons that cannot reach each other still share limits.
  * @property limits rate limits of endpoints that the sender has observed in answers.
  * @property prompts what the sender knows about prompts that may crash endpoints; null if nothing.
+ * @property duties holder of the duties and counts for it; null if the deployment has no duties.
  */
 @Serializable
 @SerialName("n")
@@ -146,6 +148,7 @@
     @SerialName("r") public val relayed: List<RelayedCharges>,
     @SerialName("m") public val limits: List<ReportedLimit> = emptyList(),
     @SerialName("p") public val prompts: PromptReport? = null,
+    @SerialName("u") public val duties: DutyNews? = null,
 ) : ServingMessage
 
 /**
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingOptions.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingOptions.kt
@@ -2,6 +2,7 @@
 
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.Member
+import io.camphordrum.core.duty.DutyOptions
 
 /**
  * Holds the limits and identities for the serving decisions of one daemon.
@@ -18,6 +19,7 @@
  * @property limitSlackTokens tokens by which the usage of an account over all daemons may exceed its rate and burst.
  * @property baseLoadWindowMillis window in which loads of base models from the weight store are counted.
  * @property baseLoadFactor factor by which the loads in that window may exceed the rate of the weight store.
+ * @property duties duties of the deployment that one daemon has at a time; null if there are none.
  * @property seed seed of the choices between services and of the jitter of Retry-After.
  */
 public data class ServingOptions(
@@ -33,4 +35,5 @@
     public val baseLoadWindowMillis: Long = 5_000,
     public val baseLoadFactor: Double = 1.1,
     public val seed: Long = 0,
+    public val duties: DutyOptions? = null,
 )
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingPorts.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingPorts.kt
@@ -1,5 +1,7 @@
 package io.camphordrum.core.serving
 
+import io.camphordrum.core.duty.DutyPorts
+
 /** Connects the decisions with stores, endpoints and other daemons; callbacks run on the decision thread. */
 public class ServingPorts(
     public val rights: RightStore,
@@ -9,4 +11,5 @@
     public val logEvent: (event: String, fields: Map<String, Any?>) -> Unit,
     public val probe: EndpointProbe = EndpointProbe { _, onEnd -> onEnd(ProbeResult.NO_ANSWER) },
     public val promptBlocks: PromptBlockStore = PromptBlockStore { _, onEnd -> onEnd(false) },
+    public val duties: DutyPorts? = null,
 )
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
@@ -35,6 +35,10 @@
     val storeCalls: Counter =
         counter("camphordrum_store_calls_total", "Calls to the store.", "call", "objects", "outcome")
 
+    /** Calls for duties to the platform by duty and outcome. */
+    val dutyCalls: Counter =
+        counter("camphordrum_duty_calls_total", "Calls for duties to the platform.", "duty", "outcome")
+
     /** Messages to and from other daemons. */
     val messages: Counter =
         counter("camphordrum_edge_messages_total", "Messages between daemons by kind.", "kind")
