--- a/core/src/main/kotlin/io/camphordrum/core/duty/DutyRight.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/duty/DutyRight.kt
@@ -33,9 +33,10 @@
     private var holderHeardNanos = startedNanos
     private var heldToken: Long? = null
 
+    /** Fencing token of the right of this daemon; null if it does not hold the right. */
     val token: Long? get() = rights.token(SUBJECT)
 
-    /** Fencing token of the current holder as far as this daemon knows. */
+    /** Whether this daemon holds the right, also while the lease of its former holder still runs. */
     val isHeld: Boolean get() = token != null
 
     /** Returns whether a call for a duty may be sent now. */
@@ -86,9 +87,9 @@
     fun leave() = rights.releaseAll()
 
     private fun mayClaim(now: Long): Boolean {
-        if (now - startedNanos < SETTLE_NANOS) return false
         // A restarted process takes its own right back without waiting for the time-out of its predecessor.
         if (holder?.holder?.instance == context.self) return true
+        if (now - startedNanos < SETTLE_NANOS) return false
         // While the store does not answer, a holder cannot renew its right and does not say that it is the holder.
         val silentSince = maxOf(holderHeardNanos, observedStore.failedNanos)
         if (now - silentSince < HOLDER_TIMEOUT_NANOS) return false
--- a/core/src/main/kotlin/io/camphordrum/core/duty/EndpointPlanner.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/duty/EndpointPlanner.kt
@@ -54,8 +54,7 @@
             return count
         }
         record(now, demand)
-        expected = smoothed + maxOf(0.0, risePerNano(now)) * bootMillis * NANOS_PER_MILLI
-        expected = minOf(expected, smoothed * MAX_RISE)
+        expected = expectedAfterBoot(now)
         val needed = ceil(expected - ROUNDING).toInt().coerceIn(minimum, maximum)
         if (needed > count) {
             count = needed
@@ -67,7 +66,7 @@
     }
 
     private fun fall(now: Long) {
-        val highest = maxOf(expected, samples.maxOf { it.demand })
+        val highest = maxOf(smoothed, samples.maxOf { it.demand })
         val kept = ceil(highest * (1 + SPARE_PART)).toInt().coerceIn(minimum, maximum)
         // Smaller steps would not be worth the cold start when demand returns.
         if (count - kept < maxOf(1.0, count * HYSTERESIS_PART)) return
@@ -88,6 +87,15 @@
         while (now - samples.first().nanos > holdNanos) samples.removeFirst()
     }
 
+    private fun expectedAfterBoot(now: Long): Double {
+        val rising = smoothed + maxOf(0.0, risePerNano(now)) * bootMillis * NANOS_PER_MILLI
+        val knownNanos = maxOf(MIN_KNOWN_NANOS, bootMillis * NANOS_PER_MILLI)
+        val known = (samples.filter { now - it.nanos >= knownNanos }.maxOfOrNull { it.demand } ?: 0.0) * KNOWN_LEVEL
+        // Demand that swings or returns after a drop rises to the level that it had, and not beyond.
+        val bound = if (smoothed <= known) known else smoothed * MAX_RISE
+        return rising.coerceIn(smoothed, maxOf(smoothed, bound))
+    }
+
     /** Returns the slope of the smoothed demand over the last boot time; 0 while too little is known. */
     private fun risePerNano(now: Long): Double {
         val spanNanos = maxOf(MIN_TREND_NANOS, minOf(bootMillis * NANOS_PER_MILLI, holdNanos / 2))
@@ -122,7 +130,13 @@
         const val MIN_TREND_SAMPLES = 4
 
         // A rise of a few seconds does not go on at the same rate for a long boot time.
-        const val MAX_RISE = 2.0
+        const val MAX_RISE = 1.3
+
+        // Peaks of the same swing differ by this factor.
+        const val KNOWN_LEVEL = 1.03
+
+        // Later demand may be part of the same rise.
+        const val MIN_KNOWN_NANOS = 10_000_000_000L
         const val SPARE_PART = 0.1
         const val HYSTERESIS_PART = 0.08
         const val STEP_PART = 0.1
