--- a/core/src/main/kotlin/io/camphordrum/core/duty/UsageReporter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/duty/UsageReporter.kt
@@ -31,6 +31,9 @@
     private var lastSkippedWindow = 0L
     private val accepted = HashSet<Long>()
 
+    // Refused for good in this tenure; another holder may try again.
+    private val refused = HashSet<Long>()
+
     // Grows when the right changes, so that answers to calls of a former tenure change nothing.
     private var tenure = 0
 
@@ -48,6 +51,7 @@
         storeCallInFlight = false
         calling = false
         accepted.clear()
+        refused.clear()
     }
 
     /**
@@ -149,7 +153,9 @@
 
     private fun apply(next: StoredDutyRecord) {
         stored = next
-        accepted.retainAll(next.record.windows.mapTo(HashSet()) { it.window })
+        val kept = next.record.windows.mapTo(HashSet()) { it.window }
+        accepted.retainAll(kept)
+        refused.retainAll(kept)
     }
 
     /** Returns the newest window up to which every report is decided or too late to be. */
@@ -166,7 +172,7 @@
         if (calling || now < callRetryNanos) return
         val report = stored?.record?.windows?.firstOrNull {
             val agoMillis = epochMillis - (it.window + 1) * options.windowMillis
-            !isAccepted(it) && agoMillis < maxOf(options.lateMillis, RETRY_MILLIS)
+            !isAccepted(it) && it.window !in refused && agoMillis < maxOf(options.lateMillis, RETRY_MILLIS)
         } ?: return
         calling = true
         callRetryNanos = now + options.callIntervalNanos
@@ -183,13 +189,11 @@
                     "counts" to report.began,
                 ),
             )
-            if (end == DutyCallEnd.ACCEPTED || end == DutyCallEnd.INVALID) {
-                callFailures = 0
-                accepted += report.window
-            } else {
-                callFailures++
-                val backOff = RETRY_NANOS * minOf(callFailures, MAX_BACK_OFF)
-                callRetryNanos = now + backOff
+            callFailures = if (end == DutyCallEnd.REFUSED || end == DutyCallEnd.UNKNOWN) callFailures + 1 else 0
+            when (end) {
+                DutyCallEnd.ACCEPTED -> accepted += report.window
+                DutyCallEnd.INVALID -> refused += report.window
+                else -> callRetryNanos = now + RETRY_NANOS * minOf(callFailures, MAX_BACK_OFF)
             }
         }
     }
