Keep the number of endpoints in force while a new holder learns it

A number is now taken as in force after ten seconds, or from the stored orders. Tokens and decided reports also survive a store that returns to an older state.

--- a/core/src/main/kotlin/io/camphordrum/core/duty/DutyRight.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/duty/DutyRight.kt
@@ -57,8 +57,9 @@
         val sender = news.holder ?: return
         if (sender == context.options.self) return
         val known = holder
-        if (known != null && known.token > news.token) return
         val heardNanos = now - peerDurationNanos(news.ageMillis)
+        // A holder with a lower token that is heard long after the last one holds a right from a restored store.
+        if (known != null && known.token > news.token && heardNanos - holderHeardNanos < HOLDER_TIMEOUT_NANOS) return
         if (known?.token == news.token && heardNanos <= holderHeardNanos) return
         holder = news
         holderHeardNanos = heardNanos
@@ -78,6 +79,7 @@
             if (rights.readOlderThan(now, if (usable) READ_NANOS else RETRY_NANOS)) rights.refresh(now)
         } else if (mayClaim(now)) {
             if (rights.readOlderThan(now, RETRY_NANOS)) rights.refresh(now)
+            rights.usedToken = maxOf(rights.usedToken, holder?.token ?: 0, heldToken ?: 0)
             rights.claim(now, SUBJECT, preferred = true) { false }
         }
         logChange(now)
--- a/core/src/main/kotlin/io/camphordrum/core/duty/EndpointScaling.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/duty/EndpointScaling.kt
@@ -12,7 +12,13 @@
     private val platform: DutyPlatform,
     ledger: DutyLedger,
 ) {
-    private class Subject(val bounds: ScaleBounds, val planner: EndpointPlanner, var ordered: Int) {
+    /** Plans one service in one data centre; [inForce] is the last order, or null until it is known. */
+    private class Subject(
+        val bounds: ScaleBounds,
+        val planner: EndpointPlanner,
+        var inForce: Int?,
+        val sinceNanos: Long,
+    ) {
         var orderedNanos = Long.MIN_VALUE / 2
         var demand: Double? = null
         var present = 0
@@ -25,9 +31,11 @@
     private var plannedNanos = Long.MIN_VALUE / 2
     private var tenure = 0
 
-    /** The numbers that this holder or a former one has ordered. */
+    /** The numbers that are in force, because they were ordered or found. */
     val orders: List<EndpointCountOrder>
-        get() = subjects.map { (key, subject) -> EndpointCountOrder(key.first, key.second.name, subject.ordered) }
+        get() = subjects.mapNotNull { (key, subject) ->
+            subject.inForce?.let { EndpointCountOrder(key.first, key.second.name, it) }
+        }
 
     /** Forgets all plans, because another daemon may order from now on. */
     fun reset() {
@@ -59,8 +67,9 @@
             .groupingBy { it.record.dataCentre }.eachCount()
         val known = subjects.keys.filter { it.first == service.name }.map { it.second }
         val planned = (present.keys + known).map { dataCentre ->
-            val subject = subject(service.name, dataCentre, bounds, present[dataCentre] ?: 0, storedOrders)
+            val subject = subject(now, service.name, dataCentre, bounds, storedOrders)
             subject.present = present[dataCentre] ?: 0
+            if (subject.inForce == null) settle(now, subject)
             subject.demand = demand.endpoints(now, service, dataCentre, bounds.bootMillis)
             subject
         }
@@ -74,25 +83,31 @@
     }
 
     private fun subject(
+        now: Long,
         service: String,
         dataCentre: DataCentreId,
         bounds: ScaleBounds,
-        present: Int,
         storedOrders: List<EndpointCountOrder>,
     ): Subject {
         val key = service to dataCentre
         val existing = subjects[key]
         if (existing != null && existing.bounds == bounds) return existing
         val stored = storedOrders.firstOrNull { it.service == service && it.dataCentre == dataCentre.name }?.count
-        val last = existing?.ordered ?: stored ?: present
-        val planner = EndpointPlanner(bounds.minimum, bounds.maximum, bounds.bootMillis, present)
-        planner.resume(last)
-        return Subject(bounds, planner, last).also { subjects[key] = it }
+        val inForce = existing?.inForce ?: stored
+        val planner = EndpointPlanner(bounds.minimum, bounds.maximum, bounds.bootMillis, inForce ?: bounds.minimum)
+        return Subject(bounds, planner, inForce, now).also { subjects[key] = it }
+    }
+
+    // Endpoints register one after the other; a number that only some of them have reached is not the one in force.
+    private fun settle(now: Long, subject: Subject) {
+        subject.planner.resume(subject.present)
+        if (now - subject.sinceNanos >= SETTLE_NANOS) subject.inForce = subject.planner.count
     }
 
     private fun isDue(now: Long, subject: Subject): Boolean {
+        val inForce = subject.inForce ?: return false
         val wanted = subject.planner.count
-        if (wanted != subject.ordered) return true
+        if (wanted != inForce) return true
         // Endpoints that were ordered and do not appear may be lost with the order.
         val bootNanos = subject.bounds.bootMillis * NANOS_PER_MILLI
         return subject.present < wanted &&
@@ -120,7 +135,7 @@
                     "service" to order.service,
                     "dataCentre" to order.dataCentre,
                     "count" to order.count,
-                    "before" to subject.ordered,
+                    "before" to subject.inForce,
                     "present" to subject.present,
                     "demand" to subject.demand,
                     "expected" to subject.planner.expected,
@@ -129,7 +144,7 @@
                 ),
             )
             if (end == DutyCallEnd.ACCEPTED || end == DutyCallEnd.INVALID) {
-                subject.ordered = order.count
+                subject.inForce = order.count
                 subject.orderedNanos = now
             } else {
                 callRetryNanos = now + RETRY_NANOS
@@ -141,6 +156,7 @@
         const val NANOS_PER_MILLI = 1_000_000L
         const val PLAN_NANOS = 1_000_000_000L
         const val RETRY_NANOS = 1_000_000_000L
+        const val SETTLE_NANOS = 10_000_000_000L
         const val BOOTS_PER_REPEAT = 2
         const val MIN_REPEAT_NANOS = 30_000_000_000L
     }
--- a/core/src/main/kotlin/io/camphordrum/core/duty/UsageReporter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/duty/UsageReporter.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.duty
 
 import io.camphordrum.core.serving.RightWriteResult
+import java.util.TreeMap
 
 /**
  * Decides what is reported for each usage window, stores the decision and sends it until the platform has it.
@@ -31,6 +32,9 @@
     private var lastSkippedWindow = 0L
     private val accepted = HashSet<Long>()
 
+    // What this process has read or stored, by window: a store that is restored to an older state loses decisions.
+    private val known = TreeMap<Long, WindowReport>()
+
     // Refused for good in this tenure; another holder may try again.
     private val refused = HashSet<Long>()
 
@@ -152,10 +156,11 @@
     }
 
     private fun apply(next: StoredDutyRecord) {
-        stored = next
-        val kept = next.record.windows.mapTo(HashSet()) { it.window }
-        accepted.retainAll(kept)
-        refused.retainAll(kept)
+        for (report in next.record.windows) known[report.window] = report
+        while (known.size > KEPT_REPORTS) known.pollFirstEntry()
+        stored = next.copy(record = next.record.copy(windows = known.values.toList()))
+        accepted.retainAll(known.keys)
+        refused.retainAll(known.keys)
     }
 
     /** Returns the newest window up to which every report is decided or too late to be. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/OrderRights.kt
@@ -40,6 +40,9 @@
     /** Whether this daemon has released its rights and claims no more. */
     var leaving = false
 
+    /** Highest token known to have been used; a store that was restored to an older state may hold lower ones. */
+    var usedToken = 0L
+
     val heldEndpoints: Set<EndpointId> get() = heldRights.keys
 
     fun token(endpoint: EndpointId): Long? = heldRights[endpoint]?.token
@@ -106,7 +109,8 @@
 
     private fun writeClaim(now: Long, endpoint: EndpointId, previous: StoredRight?, heldByThisMachine: Boolean) {
         val settled = previous == null || (heldByThisMachine && previous.right.settled)
-        val right = EndpointRight(machine, options.self.incarnation, (previous?.right?.token ?: 0) + 1, settled)
+        val token = maxOf(usedToken, previous?.right?.token ?: 0) + 1
+        val right = EndpointRight(machine, options.self.incarnation, token, settled)
         val epochMillis = clock.epochMillis()
         writing += endpoint
         store.put(endpoint.name, right, previous?.revision) { end ->
--- a/core/src/test/kotlin/io/camphordrum/core/duty/DutiesFleetTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/duty/DutiesFleetTest.kt
@@ -151,6 +151,18 @@
             assertEquals(emptyList(), fleet.wrongWindows(window..window + 1))
         }
 
+        // Guards against another report of a window whose decision is missing in a store that was restored.
+        @Test
+        fun `a restored store leads to no second report of a window`() {
+            runIntoWindow()
+            val before = fleet.reports.stored
+            fleet.run(10_000)
+            fleet.reports.stored = before.copy(revision = before.revision!! + 100)
+            val window = fleet.currentWindow
+            fleet.run(20_000)
+            assertEquals(emptyList(), fleet.wrongWindows(window - 1..window + 1))
+        }
+
         // Guards against a second decision after a write that took effect although its answer was lost.
         @Test
         fun `a decision whose answer is lost is kept`() {
--- a/core/src/test/kotlin/io/camphordrum/core/duty/DutyFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/duty/DutyFleet.kt
@@ -11,6 +11,7 @@
 import io.camphordrum.core.serving.RegisteredDaemon
 import io.camphordrum.core.serving.RightStore
 import io.camphordrum.core.serving.RightWriteResult
+import io.camphordrum.core.serving.RunEnd
 import io.camphordrum.core.serving.ServedAccount
 import io.camphordrum.core.serving.ServingCore
 import io.camphordrum.core.serving.ServingFixture
@@ -136,8 +137,8 @@
     /** Whether the store answers. */
     var storeAvailable = true
 
-    /** Whether requests arrive. */
-    var hasTraffic = true
+    /** Number of requests that begin every 20 ms. */
+    var requestsPerTick = 1
 
     val names: List<String> get() = daemons.keys.toList()
     val holder: String? get() = cores.entries.firstOrNull { it.key !in stopped && it.value.isDutyHolder }?.key
@@ -163,7 +164,7 @@
             if (delivered) cores.getValue(to).receive(clock.nanos, from, message)
         }
         for ((name, core) in cores) if (name !in stopped) core.tick(clock.nanos)
-        if (hasTraffic) begin()
+        repeat(requestsPerTick) { begin() }
     }
 
     /** Starts the process of [name] again without anything that it knew. */
@@ -175,6 +176,15 @@
         stopped -= name
     }
 
+    /** Registers [count] endpoints in each data centre. */
+    fun putEndpoints(count: Int) {
+        for (core in cores.values) {
+            for (dataCentre in DATA_CENTRES) {
+                repeat(count) { core.putEndpoint(clock.nanos, fixture.engineRecord("$dataCentre-$it", dataCentre)) }
+            }
+        }
+    }
+
     /** Returns the reports whose counts differ from the truth by more than [tolerance], or that are missing. */
     fun wrongWindows(windows: LongRange, tolerance: Double = 0.0): List<Long> = windows.filter { window ->
         val report = platform.reports[window] ?: return@filter true
@@ -195,6 +205,7 @@
         core.charge(clock.nanos, work)
         core.recordSend(clock.nanos, work, ENDPOINT)
         core.recordFirstPart(work, ENDPOINT, 10.0, 10.0)
+        core.recordRunEnd(clock.nanos, work, ENDPOINT, RunEnd.COMPLETE)
         truth.getOrPut(currentWindow) { HashMap() }.merge(account, 1, Long::plus)
     }
 
--- a/core/src/test/kotlin/io/camphordrum/core/serving/ServingFixture.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/ServingFixture.kt
@@ -160,6 +160,7 @@
                 connectionLimit,
                 13.0,
                 EngineLimits(64, 3, listOf(BaseModel("m", 1_900)), loadsPerSecond),
+                scale = ScaleBounds(3, 12, 8_000),
             ),
             ServedService("desk", 100, deskColdPerSecond),
         ),
