Estimate the work time of each endpoint from what all daemons observe

Engines of one service differ by 1 to 2.7 in speed, and a daemon of a fleet of 66 sees an answer of one of 63 engines about once a minute; the time of a plain answer was never recorded, because only answers that are streamed or too large to buffer reported their first part.

Each daemon counts the events of streams and the answers that it timed in a notice interval, and the requests that failed or were turned away. Notices and digests carry the sums (EndpointLoad), so that all daemons know them within three quarters of a second. EndpointLoads estimates the time of a unit of work at each endpoint from them in three levels, service, endpoint and the last quarter of a second, and scales the estimate and the pace of turns by it. Load headers give the starting point of the last level. Plain services are chosen at random by room. The cost of another data centre falls as the own one runs out of room. The owner's own requests no longer count twice.

--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
@@ -11,6 +11,10 @@
  * store answers again. Any other endpoint without a record is removed at once.
  */
 internal class EndpointRegistry(private val options: ServingOptions, private val peers: PeerTable) {
+    /** Receives the requests that another daemon, or all those behind a relay, have at an endpoint. */
+    var onPeerLoad: (now: Long, state: EndpointState, load: EndpointLoad) -> Unit = { _, _, _ -> }
+
+    private var firstRecordNanos: Long? = null
     private val states = LinkedHashMap<EndpointId, EndpointState>()
     private val versions = HashMap<Pair<String, String>, Int>()
     private var closedDataCentres = emptySet<DataCentreId>()
@@ -56,10 +60,13 @@
         val restarted = existing != null && existing.record.startedEpochMillis != record.startedEpochMillis
         state.missingSinceNanos = null
         state.record = record
+        val firstNanos = firstRecordNanos ?: now.also { firstRecordNanos = it }
+        if (existing == null && now - firstNanos > FIRST_RECORDS_NANOS) state.facts.markStarting(now)
         state.coldUntilNanos =
             if (record.coldMillis > 0) now + record.coldMillis * 1_000_000 else minOf(state.coldUntilNanos, now)
         if (restarted) {
             state.held.clear()
+            state.facts.restart(now)
             state.announcedLimit.reset()
         }
         val ownerReports = state.owner != null && now - state.ownerReportedNanos < ownerTimeoutNanos
@@ -164,7 +171,7 @@
         val loads = notice.load.associateBy { it.endpoint }
         val owned = notice.owned.associateBy { it.endpoint }
         for (state in states.values) {
-            state.recordPeerLoad(now, daemon, loads[state.id.name])
+            recordPeerLoad(now, state, daemon, loads[state.id.name])
             val reported = owned[state.id.name]
             if (reported == null) {
                 if (state.owner == daemon) state.owner = null
@@ -183,11 +190,7 @@
         owned: List<OwnedBy>,
     ) {
         for (state in states.values) {
-            state.recordPeerLoad(
-                now,
-                from,
-                load[state.id.name]?.without(ownLoad[state.id.name]),
-            )
+            recordPeerLoad(now, state, from, load[state.id.name]?.without(ownLoad[state.id.name]))
         }
         for (entry in owned) {
             val state = states[EndpointId(entry.endpoint.endpoint)] ?: continue
@@ -202,9 +205,18 @@
             running = maxOf(0, running - part.running),
             unanswered = maxOf(0, unanswered - part.unanswered),
             pendingTokens = maxOf(0, pendingTokens - part.pendingTokens),
+            units = maxOf(0, units - part.units),
+            unitMillis = maxOf(0, unitMillis - part.unitMillis),
+            ended = maxOf(0, ended - part.ended),
+            failed = maxOf(0, failed - part.failed),
         )
     }
 
+    private fun recordPeerLoad(now: Long, state: EndpointState, from: String, load: EndpointLoad?) {
+        state.recordPeerLoad(now, from, load)
+        if (load != null) onPeerLoad(now, state, load)
+    }
+
     fun applyOwned(now: Long, state: EndpointState, daemon: String, reported: OwnedEndpoint) {
         state.owner = daemon
         state.ownerReportedNanos = now
@@ -222,6 +234,9 @@
     private companion object {
         const val MISSING_GRACE_NANOS = 2_000_000_000L
 
+        // The endpoints that are registered when this daemon starts are read within this time.
+        const val FIRST_RECORDS_NANOS = 5_000_000_000L
+
         // Three notices between data centres.
         const val OWNER_TIMEOUT_NANOS = 1_600_000_000L
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
@@ -3,6 +3,8 @@
 import io.camphordrum.core.EndpointId
 import io.camphordrum.core.Rendezvous
 import io.camphordrum.core.load.EndpointLoads
+import kotlin.math.pow
+import kotlin.random.Random
 
 /**
  * Chooses the endpoint with the lowest cost among those where the answer begins in time.
@@ -15,10 +17,11 @@
 internal class EndpointSelector(
     context: ServingContext,
     private val loads: EndpointLoads,
+    private val random: Random,
     private val loadMillis: () -> Double,
 ) {
     /** Pairs an endpoint with its expected time and cost, and whether the adapter must be loaded first. */
-    class Choice(val state: EndpointState, val millis: Double, val cost: Double, val load: Boolean)
+    class Choice(val state: EndpointState, val millis: Double, var cost: Double, val load: Boolean)
 
     private val registry = context.registry
     private val dataCentre = context.options.dataCentre
@@ -38,7 +41,30 @@
         val ranked = if (work.adapter == null) reachable else Rendezvous.order(work.adapter, reachable) { it.id.name }
         val choices =
             ranked.mapIndexedNotNull { rank, state -> choice(now, work, service, version, state, rank, noLoad) }
-        return choices.filter { it.millis <= boundMillis }.minByOrNull { it.cost } ?: choices.minByOrNull { it.millis }
+        addRemoteCost(choices, boundMillis)
+        val inTime = choices.filter { it.millis <= boundMillis }.ifEmpty { return choices.minByOrNull { it.millis } }
+        return if (service.engine == null) chooseByRoom(inTime) else inTime.minBy { it.cost }
+    }
+
+    // Waiting in the own data centre is worth the traffic that it saves, but only as long as its room suffices.
+    private fun addRemoteCost(choices: List<Choice>, boundMillis: Double) {
+        val local = choices.filter { it.state.record.dataCentre == dataCentre && !it.load }
+        val localMillis = local.minOfOrNull { it.millis } ?: 0.0
+        val roomPart = (2 * (1 - localMillis / boundMillis)).coerceIn(0.0, 1.0)
+        val remoteMillis = LINK_MILLIS + (REMOTE_MILLIS - LINK_MILLIS) * roomPart
+        for (choice in choices) if (choice.state.record.dataCentre != dataCentre) choice.cost += remoteMillis
+    }
+
+    // All daemons know the same state of some hundred milliseconds ago. If each chose the endpoint that was best then,
+    // all would choose the same one, so each chooses at random, by what the endpoints can serve.
+    private fun chooseByRoom(choices: List<Choice>): Choice {
+        val weights = choices.map { maxOf(it.cost, MIN_COST_MILLIS).pow(-ROOM_EXPONENT) }
+        var remaining = random.nextDouble() * weights.sum()
+        for ((choice, weight) in choices.zip(weights)) {
+            remaining -= weight
+            if (remaining < 0) return choice
+        }
+        return choices.last()
     }
 
     private fun choice(
@@ -65,8 +91,7 @@
     }
 
     private fun penalty(now: Long, work: Work, state: EndpointState): Double {
-        val remoteMillis = if (state.record.dataCentre == dataCentre) 0.0 else REMOTE_MILLIS
-        return remoteMillis + state.failureRate(now) * FAILURE_COST_FACTOR * work.route.targetMillis
+        return loads.excessFailureRate(now, state) * FAILURE_COST_FACTOR * work.route.targetMillis
     }
 
     private companion object {
@@ -80,6 +105,13 @@
         // Traffic between data centres is expensive; a short wait in the own data centre is preferable.
         const val REMOTE_MILLIS = 60.0
 
+        // The longer way alone, also where traffic costs nothing.
+        const val LINK_MILLIS = 10.0
+
+        // An endpoint with twice the cost gets a sixteenth of the requests, so those that have room get nearly all.
+        const val ROOM_EXPONENT = 4.0
+        const val MIN_COST_MILLIS = 1.0
+
         // Cost of an endpoint at which all recent requests failed, in multiples of the route's target time.
         const val FAILURE_COST_FACTOR = 1.5
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointState.kt
@@ -1,6 +1,6 @@
 package io.camphordrum.core.serving
 
-import kotlin.math.pow
+import io.camphordrum.core.load.EndpointFacts
 
 /** Tracks the models, the requests in flight and the recent answers of one endpoint as seen by this daemon. */
 internal class EndpointState(var record: EndpointRecord) {
@@ -8,6 +8,9 @@
 
     val id get() = record.id
 
+    /** What daemons observed in the answers of this endpoint. */
+    val facts = EndpointFacts()
+
     /** Adapter versions by adapter, for each base model that the endpoint holds. */
     val held = HashMap<String, HashMap<String, Int>>()
 
@@ -41,6 +44,9 @@
     /** Expected time to read the prompts of the unanswered requests, by request id. */
     val expectedReadMillis = HashMap<String, Double>()
 
+    /** How much longer the requests of this daemon take than without the queue found at their sending, by request id. */
+    val queueFactors = HashMap<String, Double>()
+
     /** No request is sent before this time, because the endpoint requested a pause. */
     var pausedUntilNanos = Long.MIN_VALUE / 2
 
@@ -57,8 +63,6 @@
     private val peerLoads = HashMap<String, PeerLoad>()
     private val coldSends = ArrayDeque<Long>()
     private val coldGrants = ArrayDeque<Long>()
-    private var storedFailureRate = 0.0
-    private var failureRateNanos = 0L
     private var backoffUntilNanos = Long.MIN_VALUE
     private var backoffSteps = 0
 
@@ -114,24 +118,13 @@
     fun recordNoAnswer(now: Long) {
         backoffSteps = minOf(backoffSteps + 1, MAX_BACKOFF_STEPS)
         backoffUntilNanos = now + (FIRST_BACKOFF_NANOS shl (backoffSteps - 1))
-        recordFailure(now)
     }
 
-    fun recordFailure(now: Long) {
-        storedFailureRate = failureRate(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT
-        failureRateNanos = now
-    }
-
-    fun recordSuccess(now: Long) {
-        storedFailureRate = failureRate(now) * (1 - FAILURE_WEIGHT)
-        failureRateNanos = now
+    fun recordSuccess() {
         backoffSteps = 0
         backoffUntilNanos = Long.MIN_VALUE
     }
 
-    /** Returns the fraction of recent requests that failed; it decays over time, so that the endpoint is retried. */
-    fun failureRate(now: Long): Double = storedFailureRate * 0.5.pow((now - failureRateNanos) / FAILURE_HALF_LIFE_NANOS)
-
     /** Records the time until an answer began, with the time expected of an endpoint of slowness 1. */
     fun recordFirstPart(expectedMillis: Double, actualMillis: Double) {
         val ratio = (actualMillis / maxOf(MIN_EXPECTED_MILLIS, expectedMillis)).coerceIn(0.3, 8.0)
@@ -178,8 +171,6 @@
         const val FIRST_BACKOFF_NANOS = 500_000_000L
         const val MAX_BACKOFF_STEPS = 3
 
-        const val FAILURE_WEIGHT = 0.2
-        const val FAILURE_HALF_LIFE_NANOS = 2e9
         const val SLOWNESS_WEIGHT = 0.1
 
         // Shorter expected times are dominated by network and step times.
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EngineSpeed.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EngineSpeed.kt
@@ -52,14 +52,16 @@
      *
      * The time of an event consists of its steps, the burst, and the prompts read meanwhile; the latter take
      * [Pace.readingPart] of the total.
+     *
+     * @param slowness how much longer the steps of the engine in question take than those of the service.
      */
-    fun pace(eventTokens: Int, pauseMillis: Long): Pace {
-        val fixedMillis = eventTokens * stepMillis + BURST_MILLIS
+    fun pace(eventTokens: Int, pauseMillis: Long, slowness: Double = 1.0): Pace {
+        val fixedMillis = eventTokens * stepMillis * slowness + BURST_MILLIS
         val readingPart = (1 - fixedMillis / (pauseMillis * USABLE_PAUSE_PART)).coerceIn(
             MIN_READING_PART,
             MAX_READING_PART,
         )
-        return Pace(tokensPerMilli, readingPart, BURST_MILLIS * tokensPerMilli)
+        return Pace(tokensPerMilli, readingPart, BURST_MILLIS * tokensPerMilli / slowness)
     }
 
     internal companion object {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
@@ -105,13 +105,24 @@
     )
 
     private fun ownLoads(): List<EndpointLoad> = registry.all.filter {
-        it.running.isNotEmpty() || it.unanswered.isNotEmpty()
+        it.running.isNotEmpty() || it.unanswered.isNotEmpty() || it.facts.hasOwn
     }.map {
         val adapters = LinkedHashSet<String>()
         for (work in it.running.values) work.adapter?.let(adapters::add)
         for (work in it.unanswered.values) work.adapter?.let(adapters::add)
         val tokens = it.unanswered.values.sumOf { work -> work.promptTokens }
-        EndpointLoad(it.id.name, it.running.size, it.unanswered.size, tokens, adapters.toList())
+        val observed = it.facts.takeOwn()
+        EndpointLoad(
+            it.id.name,
+            it.running.size,
+            it.unanswered.size,
+            tokens,
+            adapters.toList(),
+            observed.units,
+            observed.millis,
+            observed.ended,
+            observed.failed,
+        )
     }
 
     private companion object {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Placement.kt
@@ -9,12 +9,16 @@
      *
      * @property version adapter version that the endpoint must serve; null if none was announced.
      * @property expectedMillis expected time until the first part of the answer.
+     * @property workMillis expected time of one unit of work at the endpoint, without waiting.
+     * @property observedMillisAgo age of the newest observation of the endpoint; null if there is none.
      */
     public data class Send(
         public val endpoint: EndpointId,
         public val address: String,
         public val version: Int?,
         public val expectedMillis: Double,
+        public val workMillis: Double = 0.0,
+        public val observedMillisAgo: Long? = null,
     ) : Placement
 
     /** The request waits until [endpoint] holds its adapter. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
@@ -272,6 +272,10 @@
                 parts.sumOf { it.unanswered },
                 parts.sumOf { it.pendingTokens },
                 parts.flatMapTo(LinkedHashSet()) { it.adapters }.toList(),
+                parts.sumOf { it.units },
+                parts.sumOf { it.unitMillis },
+                parts.sumOf { it.ended },
+                parts.sumOf { it.failed },
             )
         }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingContext.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingContext.kt
@@ -16,10 +16,10 @@
     /** Returns the estimated speed of the engines of [service]. */
     fun speed(service: String): EngineSpeed = speeds.getOrPut(service) { EngineSpeed() }
 
-    /** Returns the rate at which prompts may be sent to the engines of [service]. */
-    fun pace(service: String): Pace {
+    /** Returns the rate at which prompts may be sent to an engine of [service] that is slower by [slowness]. */
+    fun pace(service: String, slowness: Double): Pace {
         val events = config?.services?.get(service)?.engine?.eventTokens ?: EngineLimits.EVENT_TOKENS
-        return speed(service).pace(events, config?.pauseMillis(service) ?: DEFAULT_PAUSE_MILLIS)
+        return speed(service).pace(events, config?.pauseMillis(service) ?: DEFAULT_PAUSE_MILLIS, slowness)
     }
 
     val self: InstanceId get() = options.self.instance
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -5,6 +5,7 @@
 import io.camphordrum.core.EndpointId
 import io.camphordrum.core.Member
 import io.camphordrum.core.load.EndpointLoads
+import io.camphordrum.core.load.ReportedLoad
 import kotlin.random.Random
 
 /**
@@ -26,7 +27,7 @@
     private val clock: Clock,
     private val ports: ServingPorts,
 ) {
-    private val random = Random(options.seed)
+    private val random = Random(options.seed xor options.self.instance.name.hashCode().toLong())
     private val startedNanos = clock.nanos()
     private val peers = PeerTable(options.self, startedNanos)
     private val registry = EndpointRegistry(options, peers)
@@ -37,9 +38,9 @@
         startedNanos,
         { noticeExchange.hasCurrentView(it) },
     ) { turnScheduler.queuedTokens(it) }
-    private val turnScheduler: TurnScheduler = TurnScheduler(context) { ownership.owns(it) }
     private val loads = EndpointLoads(context)
-    private val selector = EndpointSelector(context, loads) { ownership.loadMillis }
+    private val turnScheduler: TurnScheduler = TurnScheduler(context, loads) { ownership.owns(it) }
+    private val selector = EndpointSelector(context, loads, random) { ownership.loadMillis }
     private val meter = AccountMeter(options.self, startedNanos, options.limitSlackTokens)
     private val limits = EndpointLimits(context)
 
@@ -50,6 +51,10 @@
     private val retryBudgets = HashMap<String, RetryBudget>()
     private var lastTickNanos = startedNanos
 
+    init {
+        registry.onPeerLoad = loads::addObservations
+    }
+
     /** The current configuration; null until one was read. */
     public val config: ServingConfig? get() = context.config
 
@@ -177,6 +182,8 @@
             choice.state.record.address,
             registry.announcedVersion(work.base, work.adapter),
             choice.millis,
+            loads.workMillis(now, choice.state),
+            loads.ageMillis(now, choice.state),
         )
     }
 
@@ -229,30 +236,53 @@
             val fields = mapOf("id" to work.id, "endpoint" to endpoint.name, "perSecond" to limit)
             ports.logEvent("limited_send", fields)
         }
-        if (work.base != null) state.expectedReadMillis[work.id] = loads.readMillis(now, work, state)
+        if (context.engine(state) == null) {
+            state.queueFactors[work.id] = loads.queueFactor(now, state)
+        } else {
+            state.expectedReadMillis[work.id] = loads.readMillis(now, work, state)
+        }
         state.unanswered[work.id] = work
         state.recordSend(now)
     }
 
     /** Records that the answer of [work] began [actualMillis] after the request was sent. */
-    public fun recordFirstPart(work: Work, endpoint: EndpointId, expectedMillis: Double, actualMillis: Double) {
+    public fun recordFirstPart(
+        now: Long,
+        work: Work,
+        endpoint: EndpointId,
+        expectedMillis: Double,
+        actualMillis: Double,
+    ) {
         val state = registry.get(endpoint) ?: return
         val sent = state.unanswered.remove(work.id) ?: return
         state.running[work.id] = sent
         val readMillis = state.expectedReadMillis.remove(work.id)
-        state.recordFirstPart(readMillis ?: expectedMillis, actualMillis)
-        if (readMillis == null) return
-        context.speed(work.service).recordRead(work.newTokens, actualMillis)
+        if (readMillis == null) {
+            state.recordFirstPart(expectedMillis, actualMillis)
+            return
+        }
+        loads.recordFirstPart(now, state, readMillis, actualMillis, work.newTokens)
         turnScheduler.reportRunBegun(
             endpoint,
             ServingMessage.RunBegun(endpoint.name, readMillis, actualMillis, work.newTokens),
         )
     }
 
-    /** Records that two events of the stream of [work] arrived [millis] apart. */
-    public fun recordEventGap(work: Work, millis: Double) {
-        val events = config?.services?.get(work.service)?.engine?.eventTokens ?: return
-        context.speed(work.service).recordEvent(events, millis)
+    /** Records that two events of the stream of [work] at [endpoint] arrived [millis] apart. */
+    public fun recordEventGap(now: Long, work: Work, endpoint: EndpointId, millis: Double) {
+        val eventTokens = config?.services?.get(work.service)?.engine?.eventTokens ?: return
+        registry.get(endpoint)?.let { loads.recordEvent(now, it, eventTokens, millis) }
+    }
+
+    /** Records that the plain service [endpoint] sent its whole answer to [work] in [millis]. */
+    public fun recordPlainAnswer(now: Long, work: Work, endpoint: EndpointId, millis: Double) {
+        val state = registry.get(endpoint) ?: return
+        state.queueFactors[work.id]?.let { loads.recordAnswer(now, state, millis / it) }
+    }
+
+    /** Records what [endpoint] stated about itself in an answer. */
+    public fun recordReportedLoad(now: Long, endpoint: EndpointId, load: ReportedLoad) {
+        registry.get(endpoint)?.let { loads.recordReported(now, it, load) }
     }
 
     /** Stops sends to [endpoint], which announced that it is leaving, until it has restarted. */
@@ -289,12 +319,13 @@
         state.unanswered.remove(work.id)
         state.running.remove(work.id)
         state.expectedReadMillis.remove(work.id)
+        state.queueFactors.remove(work.id)
         when (end) {
-            RunEnd.COMPLETE -> state.recordSuccess(now)
-            RunEnd.FAILED -> state.recordFailure(now)
+            RunEnd.COMPLETE -> state.recordSuccess()
             RunEnd.SILENT -> state.recordNoAnswer(now)
-            RunEnd.TURNED_AWAY, RunEnd.CANCELLED -> Unit
+            else -> Unit
         }
+        end.countsAsFailure?.let { loads.recordEnd(now, state, failed = it) }
     }
 
     /** Records that [endpoint] answered that it does not hold the adapter of [work]. */
@@ -314,7 +345,7 @@
             is ServingMessage.TurnAsk -> turnScheduler.receiveTurnAsk(now, from.instance.name, message)
             is ServingMessage.TurnEnd -> turnScheduler.receiveTurnEnd(message)
             is ServingMessage.TurnDrop -> turnScheduler.receiveTurnDrop(message)
-            is ServingMessage.RunBegun -> turnScheduler.receiveRunBegun(message)
+            is ServingMessage.RunBegun -> turnScheduler.receiveRunBegun(now, message)
             is ServingMessage.PermitAsk -> permits.receiveAsk(now, from.instance.name, message)
             is ServingMessage.PermitEnd -> permits.receiveEnd(now, from.instance.name, message)
             is ServingMessage.PromptNews -> prompts.receive(now, message.report)
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -155,6 +155,10 @@
  * @property unanswered requests that were sent and whose answer has not begun.
  * @property pendingTokens prompt tokens of the unanswered requests.
  * @property adapters adapters of all these requests.
+ * @property units answers of a plain service, or events of streams, that were timed since the last notice.
+ * @property unitMillis time of these units.
+ * @property ended requests that the endpoint answered since the last notice.
+ * @property failed those of [ended] that failed or were turned away.
  */
 @Serializable
 public data class EndpointLoad(
@@ -163,6 +167,10 @@
     @SerialName("w") public val unanswered: Int,
     @SerialName("t") public val pendingTokens: Int,
     @SerialName("a") public val adapters: List<String>,
+    @SerialName("u") public val units: Int = 0,
+    @SerialName("m") public val unitMillis: Int = 0,
+    @SerialName("n") public val ended: Int = 0,
+    @SerialName("f") public val failed: Int = 0,
 )
 
 /**
--- a/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
@@ -1,15 +1,23 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.EndpointId
+import io.camphordrum.core.load.EndpointLoads
 
 /** Grants the turns at the endpoints that this daemon owns, and requests turns at other endpoints from their owners. */
-internal class TurnScheduler(private val context: ServingContext, private val owns: (EndpointId) -> Boolean) {
+internal class TurnScheduler(
+    private val context: ServingContext,
+    private val loads: EndpointLoads,
+    private val owns: (EndpointId) -> Boolean,
+) {
     private class Wait(val endpoint: EndpointId, val untilNanos: Long, val onEnd: (Boolean) -> Unit)
 
     private val registry = context.registry
     private val queues = HashMap<EndpointId, TurnQueue>()
     private val waits = HashMap<String, Wait>()
 
+    // When turns were last granted; the pace of an endpoint is that of this time.
+    private var paceNanos = 0L
+
     fun queuedTokens(id: EndpointId): Int = queues[id]?.queuedTokens ?: 0
 
     /**
@@ -34,6 +42,7 @@
 
     /** Handles a turn request of the daemon [from]. */
     fun receiveTurnAsk(now: Long, from: String, ask: ServingMessage.TurnAsk) {
+        paceNanos = now
         val id = EndpointId(ask.endpoint)
         val queue = if (owns(id)) queues.getOrPut(id) { createQueue(id) } else null
         val untilNanos = now + peerDurationNanos(ask.waitMillis)
@@ -58,27 +67,27 @@
 
     /** Grants the turns that are due and ends the waits that have expired. */
     fun tick(now: Long) {
+        paceNanos = now
         for (id in waits.filterValues { now >= it.untilNanos }.keys.toList()) endWait(id, granted = false)
         for (id in queues.keys.toList()) grantDue(now, id)
     }
 
     fun leave() = queues.clear()
 
-    /** Reports to the owner of [endpoint] how long the answer of a request took to begin. */
+    /** Reports to another daemon that owns [endpoint] how long the answer of a request took to begin. */
     fun reportRunBegun(endpoint: EndpointId, begun: ServingMessage.RunBegun) {
-        if (owns(endpoint)) receiveRunBegun(begun) else context.send(registry.get(endpoint)?.owner, begun)
+        if (!owns(endpoint)) context.send(registry.get(endpoint)?.owner, begun)
     }
 
     /** Records the time until an answer began at an endpoint that this daemon owns. */
-    fun receiveRunBegun(begun: ServingMessage.RunBegun) {
+    fun receiveRunBegun(now: Long, begun: ServingMessage.RunBegun) {
         val state = registry.get(EndpointId(begun.endpoint)) ?: return
-        state.recordFirstPart(begun.expectedMillis, begun.actualMillis)
-        context.speed(state.record.service).recordRead(begun.newTokens, begun.actualMillis)
+        loads.recordFirstPart(now, state, begun.expectedMillis, begun.actualMillis, begun.newTokens)
     }
 
     private fun createQueue(id: EndpointId): TurnQueue {
         val service = registry.get(id)?.record?.service.orEmpty()
-        return TurnQueue { context.pace(service) }
+        return TurnQueue { registry.get(id)?.let { loads.pace(paceNanos, it) } ?: context.pace(service, 1.0) }
     }
 
     private fun grantDue(now: Long, id: EndpointId) {
@@ -92,7 +101,7 @@
         val slots = service.engine?.batchSlots ?: return
         val openRequests = state.runningEverywhere(now) + state.unansweredEverywhere(now)
         val freeSlots = minOf(slots - openRequests, state.remainingColdTurns(now, registry.coldTurnsPerSecond(service)))
-        val (granted, expired) = queue.grantDue(now, freeSlots, state.slowness)
+        val (granted, expired) = queue.grantDue(now, freeSlots, loads.slowness(now, state))
         state.queuedTurnTokens = queue.queuedTokens
         for (request in granted) {
             state.recordGrantedTurn(now, request.id, request.tokens)
--- a/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LimitedFleet.kt
@@ -280,7 +280,7 @@
         if (limit != null) replica.toldNanos.putIfAbsent(attempt.node.name, now)
         if (runs) {
             served++
-            core.recordFirstPart(work, id, ANSWER_MILLIS.toDouble(), (now - sentNanos) / 1e6)
+            core.recordFirstPart(now, work, id, ANSWER_MILLIS.toDouble(), (now - sentNanos) / 1e6)
             at(RUN_MILLIS) { whenRunning(attempt) { core.recordRunEnd(now, work, id, RunEnd.COMPLETE) } }
         } else {
             core.recordRunEnd(now, work, id, RunEnd.TURNED_AWAY)
--- a/core/src/test/kotlin/io/camphordrum/core/serving/LoadSimulation.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/LoadSimulation.kt
@@ -191,6 +191,7 @@
                 onFirst = {
                     firstMillis = (clock.nanos - work.arrivedNanos) / 1_000_000
                     core.recordFirstPart(
+                        clock.nanos,
                         work,
                         placement.endpoint,
                         placement.expectedMillis,
--- a/core/src/test/kotlin/io/camphordrum/core/serving/PromptFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/serving/PromptFleet.kt
@@ -259,7 +259,7 @@
             }
             begunNanos = now
             whenRunning(attempt) {
-                core.recordFirstPart(work, endpoint, 100.0, (now - sentNanos) / 1e6)
+                core.recordFirstPart(now, work, endpoint, 100.0, (now - sentNanos) / 1e6)
                 if (attempt.runs == 0) soundBegun++
             }
             at(UNDER_WAY_MILLIS) {
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeMetrics.kt
@@ -28,6 +28,18 @@
         "Answers that were broken off because incomplete answers of their endpoint took too much memory.",
     )
 
+    /** Load headers of answers by whether they could be read. */
+    val loadHeaders: Counter =
+        counter("camphordrum_edge_load_headers_total", "Load headers of answers by whether they were read.", "result")
+
+    /** Actual time from a send to the first part of its answer, in multiples of the time expected at the placement. */
+    val expectedRatio: Histogram = Histogram.builder()
+        .name("camphordrum_edge_first_part_expected_ratio")
+        .help("Time from a send to the first part of its answer, in multiples of the expected time.")
+        .classicOnly()
+        .classicUpperBounds(0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
+        .register(registry)
+
     /** Orders to endpoints by result. */
     val orders: Counter = counter("camphordrum_edge_orders_total", "Orders to endpoints by how they ended.", "end")
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EdgeProtocol.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.daemon.edge
 
 import io.camphordrum.core.EndpointId
+import io.camphordrum.core.load.ReportedLoad
 import io.camphordrum.core.serving.Placement
 import io.camphordrum.core.serving.ServedService
 import io.camphordrum.core.serving.Work
@@ -64,13 +65,27 @@
  * @property leaving whether the endpoint accepts no more requests until it has restarted.
  * @property pauseMillis how long the endpoint accepts no requests; null when it announces no pause.
  * @property rateLimit the rate of requests that the endpoint accepts from all daemons together.
+ * @property load what the endpoint states about its present load.
  */
 data class EndpointAvailability(
     val leaving: Boolean,
     val pauseMillis: Long?,
     val rateLimit: AnnouncedRate = AnnouncedRate.None,
+    val load: AnnouncedLoad = AnnouncedLoad.None,
 )
 
+/** Represents what an answer says about the present load of its endpoint. */
+sealed interface AnnouncedLoad {
+    /** The answer says nothing. */
+    data object None : AnnouncedLoad
+
+    /** The answer states a [load] in which an endpoint can be. */
+    data class Stated(val load: ReportedLoad) : AnnouncedLoad
+
+    /** The answer states a load that cannot be read or is impossible, as [text]. */
+    data class Unreadable(val text: String) : AnnouncedLoad
+}
+
 /** Represents what an answer says about the rate of requests that its endpoint accepts. */
 sealed interface AnnouncedRate {
     /** The answer announces no limit. */
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/EndpointRun.kt
@@ -61,7 +61,7 @@
             head,
             endpoint,
             sentNanos,
-            provesNoLimit =
+            answersRequest =
             classified == AnswerClassification.PROPER,
         )
         if (classified == AnswerClassification.OTHER_REQUEST) {
@@ -200,7 +200,12 @@
 
     private fun handleTurnedAway() {
         val status = head?.status
-        recordEnd(RunEnd.TURNED_AWAY)
+        val end = when {
+            classification == AnswerClassification.NOT_HERE -> RunEnd.NOT_HERE
+            status == TOO_MANY_REQUESTS -> RunEnd.RATE_LIMITED
+            else -> RunEnd.TURNED_AWAY
+        }
+        recordEnd(end)
         if (classification == AnswerClassification.NOT_HERE) core.recordAdapterMissing(work, endpoint)
         EdgeLog.write("turned_away", forwarding.fields() + mapOf("status" to status))
         forwarding.retryOrFail(endpoint, mayHaveRun = false, "turned away with status $status")
@@ -230,7 +235,7 @@
         val whole = stream.append(part)
         if (whole.isReadable) {
             if (exchange.headWritten) {
-                core.recordEventGap(work, partTimes.recordNext(forwarding.now()) / 1e6)
+                core.recordEventGap(forwarding.now(), work, endpoint, partTimes.recordNext(forwarding.now()) / 1e6)
             } else {
                 startAnswer(first)
             }
@@ -242,8 +247,9 @@
     private fun startAnswer(first: AnswerHead) {
         val now = forwarding.now()
         partTimes.recordFirst(now)
-        core.recordFirstPart(work, endpoint, placement.expectedMillis, (now - sentNanos) / 1e6)
+        core.recordFirstPart(now, work, endpoint, placement.expectedMillis, (now - sentNanos) / 1e6)
         forwarder.metrics.firstPart.observe((now - work.arrivedNanos) / 1e9)
+        observeExpected(now)
         forwarding.startedHead = first
         exchange.startAnswer(first.status, first.reason, forwarding.forwardedHeaders(first))
     }
@@ -262,6 +268,9 @@
 
     private fun completeAnswer() {
         val first = head ?: return
+        if (first.status in SUCCESS && !exchange.headWritten) {
+            core.recordPlainAnswer(forwarding.now(), work, endpoint, (forwarding.now() - sentNanos) / 1e6)
+        }
         recordEnd(if (first.status >= SERVER_ERROR) RunEnd.FAILED else RunEnd.COMPLETE)
         if (first.status in SUCCESS) firstPartNanos?.let(::recordSound)
         if (!forwarding.finish()) return
@@ -290,11 +299,17 @@
         } else {
             val content = buffered ?: events?.remainder() ?: Unpooled.EMPTY_BUFFER
             forwarder.metrics.firstPart.observe((forwarding.now() - work.arrivedNanos) / 1e9)
+            observeExpected(forwarding.now())
             exchange.answer(first.status, first.reason, forwarding.forwardedHeaders(first), content)
         }
         buffered = null
     }
 
+    private fun observeExpected(now: Long) {
+        val expectedMillis = placement.expectedMillis
+        if (expectedMillis > 0) forwarder.metrics.expectedRatio.observe((now - sentNanos) / 1e6 / expectedMillis)
+    }
+
     private fun recordEnd(end: RunEnd) {
         if (closed) return
         closed = true
@@ -311,6 +326,7 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
+        const val TOO_MANY_REQUESTS = 429
         const val SERVER_ERROR = 500
         val SUCCESS = 200..299
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -33,6 +33,8 @@
 
     internal val answerTimes = AnswerTimes()
 
+    private var loadLoggedNanos = Long.MIN_VALUE / 2
+
     // When this daemon ends the requests that are still open; null unless it is stopping.
     private var stopNanos: Long? = null
 
@@ -182,22 +184,45 @@
      * Records the availability that an answer announces for [endpoint].
      *
      * @param sentNanos when the request was sent.
-     * @param provesNoLimit whether an answer without a rate limit shows that the endpoint has none; a late copy of an
-     *   older answer does not.
+     * @param answersRequest whether the answer is that to the request, so that it shows the present load and, without a
+     *   rate limit, that there is none; a late copy of an older answer does not.
      */
-    internal fun recordAvailability(answer: AnswerHead, endpoint: EndpointId, sentNanos: Long, provesNoLimit: Boolean) {
+    internal fun recordAvailability(
+        answer: AnswerHead,
+        endpoint: EndpointId,
+        sentNanos: Long,
+        answersRequest: Boolean,
+    ) {
         val now = clock.nanos()
         val availability = protocol.availability(answer)
         if (availability.leaving) core.markLeaving(endpoint)
         availability.pauseMillis?.let { core.pauseEndpoint(now, endpoint, it) }
         when (val rate = availability.rateLimit) {
             is AnnouncedRate.Limited -> core.recordAnnouncedLimit(now, endpoint, sentNanos, rate.perSecond)
-            AnnouncedRate.None -> if (provesNoLimit) core.recordAnnouncedLimit(now, endpoint, sentNanos, null)
+            AnnouncedRate.None -> if (answersRequest) core.recordAnnouncedLimit(now, endpoint, sentNanos, null)
             is AnnouncedRate.Unreadable -> EdgeLog.write(
                 "limit_unreadable",
                 mapOf("endpoint" to endpoint.name, "limit" to rate.text.take(MAX_LOGGED_CHARS)),
             )
         }
+        if (answersRequest) recordLoad(now, endpoint, availability.load)
+    }
+
+    private fun recordLoad(now: Long, endpoint: EndpointId, load: AnnouncedLoad) {
+        when (load) {
+            AnnouncedLoad.None -> Unit
+            is AnnouncedLoad.Stated -> {
+                metrics.loadHeaders.labelValues("read").inc()
+                core.recordReportedLoad(now, endpoint, load.load)
+            }
+            is AnnouncedLoad.Unreadable -> {
+                metrics.loadHeaders.labelValues("unreadable").inc()
+                if (now - loadLoggedNanos < LOAD_LOG_NANOS) return
+                loadLoggedNanos = now
+                val text = load.text.take(MAX_LOGGED_CHARS)
+                EdgeLog.write("load_unreadable", mapOf("endpoint" to endpoint.name, "load" to text))
+            }
+        }
     }
 
     private fun refuse(exchange: CallerExchange, request: CallerRequest?, own: Own, reason: String) {
@@ -217,6 +242,9 @@
         const val LIFE_CHECK_MILLIS = 300L
         const val MAX_PROMPT_PARTS = 8_192
         const val MAX_LOGGED_CHARS = 40
+
+        // Bounds the lines about an endpoint whose every answer has an unreadable load.
+        const val LOAD_LOG_NANOS = 10_000_000_000L
     }
 }
 
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -260,6 +260,8 @@
         "adapter" to work.adapter,
         "endpoint" to run?.placement?.endpoint?.name,
         "expectedMillis" to run?.placement?.expectedMillis?.toLong(),
+        "workMillis" to run?.placement?.workMillis?.toLong(),
+        "observedMillisAgo" to run?.placement?.observedMillisAgo,
         "sends" to sends,
         "loads" to loadWaits,
         "ageMillis" to (now() - work.arrivedNanos) / NANOS_PER_MILLI,
