--- a/core/src/main/kotlin/io/camphordrum/core/load/EndpointFacts.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/EndpointFacts.kt
@@ -34,7 +34,11 @@
     private var ownMillis = 0.0
     private var reportedNanos = Long.MIN_VALUE / 2
     private var reported: ReportedLoad? = null
+    private var percentNanos = Long.MIN_VALUE / 2
+    private var percent: Int? = null
     private var startingUntilNanos = Long.MIN_VALUE / 2
+    private var estimatedMillis = 0.0
+    private var estimatedNanos = Long.MIN_VALUE / 2
 
     /** When an observation of this or another daemon was last added; null before the first. */
     val lastNanos: Long? get() = usual.lastNanos
@@ -58,9 +62,23 @@
     fun recordReported(now: Long, load: ReportedLoad) {
         reported = load
         reportedNanos = now
-        load.workPercent?.let { percents.add(now, 1.0, it.toDouble()) }
+        load.workPercent?.let { recordPercent(now, it) }
     }
 
+    /** Records how long work takes on the endpoint's machine, as it states itself, 100 as usual. */
+    fun recordPercent(now: Long, stated: Int) {
+        val before = percent
+        // Observations from before a change say nothing about the time after it.
+        if (before != null && maxOf(stated, before) > minOf(stated, before) * CHANGE_RATIO) recent.clear()
+        percent = stated
+        percentNanos = now
+        percents.add(now, 1.0, stated.toDouble())
+        estimatedNanos = Long.MIN_VALUE / 2
+    }
+
+    /** Returns how long work takes as last stated; null if that is too long ago. */
+    fun reportedPercent(now: Long): Int? = percent?.takeIf { freshness(now, percentNanos) > 0 }
+
     /** Adds what other daemons observed; [common] is the time of a unit at the endpoints of the service. */
     fun add(now: Long, others: Observations, common: Double) {
         if (others.units > 0 && others.millis >= 0) {
@@ -86,6 +104,15 @@
 
     /** Returns the expected milliseconds of a unit of work, given [common], those at the endpoints of the service. */
     fun workMillis(now: Long, common: Double): Double {
+        // One placement reads this several times for each endpoint.
+        if (now - estimatedNanos !in 0..ESTIMATE_MAX_AGE_NANOS) {
+            estimatedMillis = estimateWorkMillis(now, common)
+            estimatedNanos = now
+        }
+        return estimatedMillis
+    }
+
+    private fun estimateWorkMillis(now: Long, common: Double): Double {
         val starting = if (now < startingUntilNanos) STARTING_FACTOR else 1.0
         val usualMillis = usual.mean(now, common * starting, USUAL_PRIOR_COUNT)
         return recent.mean(now, usualMillis * reportedRatio(now), RECENT_PRIOR_COUNT)
@@ -102,15 +129,18 @@
     fun restart(now: Long) {
         for (evidence in listOf(usual, recent, failures, percents)) evidence.clear()
         reported = null
+        percent = null
         markStarting(now)
     }
 
     /** Expects work to take longer for a while, because an endpoint is slow just after its start. */
     fun markStarting(now: Long) {
         startingUntilNanos = now + STARTING_NANOS
+        estimatedNanos = Long.MIN_VALUE / 2
     }
 
     private fun addWork(now: Long, units: Double, millis: Double) {
+        estimatedNanos = Long.MIN_VALUE / 2
         usual.add(now, units, millis)
         recent.add(now, units, millis)
     }
@@ -118,9 +148,9 @@
     // The endpoint's own statement is only where the estimate starts, so that one that is false loses to its answers.
     // What counts is how far it differs from its usual value, so that a constant false value has no effect.
     private fun reportedRatio(now: Long): Double {
-        val percent = reported?.workPercent ?: return 1.0
-        val ratio = percent / percents.mean(now, USUAL_PERCENT, PERCENT_PRIOR_COUNT)
-        return (1 + (ratio - 1) * freshness(now, reportedNanos)).coerceIn(1 / MAX_REPORTED_RATIO, MAX_REPORTED_RATIO)
+        val stated = percent ?: return 1.0
+        val ratio = stated / percents.mean(now, USUAL_PERCENT, PERCENT_PRIOR_COUNT)
+        return (1 + (ratio - 1) * freshness(now, percentNanos)).coerceIn(1 / MAX_REPORTED_RATIO, MAX_REPORTED_RATIO)
     }
 
     private fun freshness(now: Long, atNanos: Long): Double =
@@ -141,10 +171,15 @@
         const val PERCENT_PRIOR_COUNT = 1.0
         const val USUAL_PERCENT = 100.0
 
+        // Smaller changes of a stated load are within what answers vary by.
+        const val CHANGE_RATIO = 1.3
         const val MAX_RATIO = 8.0
         const val MAX_REPORTED_RATIO = 4.0
         const val MAX_UNITS = 10_000
 
+        // Much shorter than the half-lives.
+        const val ESTIMATE_MAX_AGE_NANOS = 10_000_000L
+
         // A load that changes many times a second says nothing after this time.
         const val REPORTED_MAX_AGE_NANOS = 1e9
 
--- a/core/src/main/kotlin/io/camphordrum/core/load/EndpointLoads.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/EndpointLoads.kt
@@ -17,9 +17,20 @@
  * what endpoints state about themselves ([ReportedLoad]).
  */
 internal class EndpointLoads(private val context: ServingContext) {
+    private class ServiceMeans(val nanos: Long, val workMillis: Double, val failureRate: Double)
+
     private class ServiceFacts {
         val work = Evidence(SERVICE_HALF_LIFE_NANOS)
         val failures = Evidence(SERVICE_HALF_LIFE_NANOS)
+        private var means: ServiceMeans? = null
+
+        // Read for each endpoint of each placement, and changes slowly.
+        fun means(now: Long, firstMillis: Double): ServiceMeans =
+            means?.takeIf { now - it.nanos in 0..MEANS_MAX_AGE_NANOS } ?: ServiceMeans(
+                now,
+                work.mean(now, firstMillis, SERVICE_PRIOR_COUNT),
+                failures.mean(now, 0.0, SERVICE_PRIOR_COUNT),
+            ).also { means = it }
     }
 
     private val services = HashMap<String, ServiceFacts>()
@@ -60,6 +71,18 @@
         return maxOf(0.0, endpoint.facts.failureRate(now, common) - common)
     }
 
+    /**
+     * Returns the expected number of streams at the engine [endpoint] that pause for longer than the route allows
+     * because the prompt of [work] is read there.
+     */
+    fun pausedStreams(now: Long, work: Work, endpoint: EndpointState): Double {
+        val limitMillis = work.route.pauseMillis?.toDouble() ?: return 0.0
+        val readMillis = work.promptTokens / context.speed(endpoint.record.service).tokensPerMilli
+        val pauseMillis = workMillis(now, endpoint) + readMillis * speedFactor(now, endpoint)
+        val latePart = (pauseMillis / limitMillis - FIRST_LATE_PAUSE) / (SURE_LATE_PAUSE - FIRST_LATE_PAUSE)
+        return latePart.coerceIn(0.0, 1.0) * minOf(endpoint.runningEverywhere(now), MAX_PAUSED_STREAMS)
+    }
+
     /** Returns the age in milliseconds of the newest observation of [endpoint]; null if there is none. */
     fun ageMillis(now: Long, endpoint: EndpointState): Long? =
         endpoint.facts.lastNanos?.let { (now - it) / NANOS_PER_MILLI }
@@ -91,6 +114,11 @@
         context.speed(endpoint.record.service).recordEvent(eventTokens, millis / speedFactor(now, endpoint))
     }
 
+    /** Records how long work takes at [endpoint], as it stated in an answer to another daemon just now. */
+    fun recordPercent(now: Long, endpoint: EndpointState, percent: Int) {
+        if (percent in 1..ReportedLoad.MAX_PERCENT) endpoint.facts.recordPercent(now, percent)
+    }
+
     /** Records what [endpoint] stated about itself in an answer; implausible statements have no effect. */
     fun recordReported(now: Long, endpoint: EndpointState, load: ReportedLoad) {
         if (load.isPlausible) endpoint.facts.recordReported(now, load)
@@ -141,10 +169,10 @@
         (workMillis(now, endpoint) / firstMillis(endpoint)).coerceIn(MIN_SPEED_FACTOR, MAX_SPEED_FACTOR)
 
     private fun commonMillis(now: Long, endpoint: EndpointState): Double =
-        service(endpoint).work.mean(now, firstMillis(endpoint), SERVICE_PRIOR_COUNT)
+        service(endpoint).means(now, firstMillis(endpoint)).workMillis
 
     private fun commonFailureRate(now: Long, endpoint: EndpointState): Double =
-        service(endpoint).failures.mean(now, 0.0, SERVICE_PRIOR_COUNT)
+        service(endpoint).means(now, firstMillis(endpoint)).failureRate
 
     // Assumed until answers have been observed.
     private fun firstMillis(endpoint: EndpointState): Double {
@@ -165,7 +193,15 @@
         const val RUN_MILLIS = 2_000.0
         const val PLAIN_MILLIS = 30.0
 
+        // A second prompt or a slow moment may prolong an expected pause. In multiples of the allowed pause.
+        const val FIRST_LATE_PAUSE = 0.6
+        const val SURE_LATE_PAUSE = 1.4
+
+        // Of more streams at a slow engine, most have paused for too long before.
+        const val MAX_PAUSED_STREAMS = 4
+
         const val SERVICE_HALF_LIFE_NANOS = 30e9
+        const val MEANS_MAX_AGE_NANOS = 10_000_000L
         const val SERVICE_PRIOR_COUNT = 8.0
         const val MAX_RATIO = 8.0
         const val MIN_SPEED_FACTOR = 0.2
--- a/core/src/main/kotlin/io/camphordrum/core/load/Evidence.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/Evidence.kt
@@ -28,6 +28,7 @@
      * Without recent observations this is [prior] (shrinkage, as in Efron and Morris 1977).
      */
     fun mean(now: Long, prior: Double, priorCount: Double): Double {
+        if (count == 0.0) return prior
         val kept = keptPart(now)
         return (total * kept + prior * priorCount) / (count * kept + priorCount)
     }
--- a/core/src/main/kotlin/io/camphordrum/core/load/ReportedLoad.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/ReportedLoad.kt
@@ -21,7 +21,7 @@
             slots in 1..MAX_REQUESTS &&
             (workPercent == null || workPercent in 1..MAX_PERCENT)
 
-    private companion object {
+    internal companion object {
         const val MAX_REQUESTS = 100_000
         const val MAX_PERCENT = 10_000
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
@@ -78,20 +78,20 @@
     ): Choice? {
         if (!state.hasColdRoom(now, registry.coldSendsPerSecond(now, state, service))) return null
         if (!registry.hasConnectionRoom(now, state, service)) return null
-        val penalty = penalty(now, work, state)
+        val failureRate = loads.excessFailureRate(now, state)
+        val penalty = failureRate * FAILURE_COST_FACTOR * work.route.targetMillis
         val wait = loads.expectedMillis(now, work, state)
-        val engine = service.engine ?: return Choice(state, wait, wait + penalty, load = false)
+        // The cost until a request succeeds, so that a failing endpoint gets little more than trials.
+        val engine = service.engine
+            ?: return Choice(state, wait, (wait + penalty) / (1 - minOf(failureRate, MAX_FAILURE_RATE)), load = false)
         val base = work.base ?: engine.baseModels.firstOrNull()?.name ?: return null
         if (base !in state.held) return null
-        if (state.holds(base, work.adapter, version)) return Choice(state, wait, wait + penalty, load = false)
+        val cost = wait + penalty + loads.pausedStreams(now, work, state) * PAUSE_COST_PART * work.route.targetMillis
+        if (state.holds(base, work.adapter, version)) return Choice(state, wait, cost, load = false)
         if (state.id in noLoad || !state.ownerMayOrder || !registry.ownerReachable(now, state)) return null
         val loadCount = 1 + state.ownerQueuedLoads * QUEUED_LOAD_PART
-        val cost = wait + penalty + LOAD_COST_MILLIS * loadCount + rank * RANK_COST_MILLIS
-        return Choice(state, wait + loadMillis() * loadCount, cost, load = true)
-    }
-
-    private fun penalty(now: Long, work: Work, state: EndpointState): Double {
-        return loads.excessFailureRate(now, state) * FAILURE_COST_FACTOR * work.route.targetMillis
+        val loadCost = LOAD_COST_MILLIS * loadCount + rank * RANK_COST_MILLIS
+        return Choice(state, wait + loadMillis() * loadCount, cost + loadCost, load = true)
     }
 
     private companion object {
@@ -114,6 +114,10 @@
 
         // Cost of an endpoint at which all recent requests failed, in multiples of the route's target time.
         const val FAILURE_COST_FACTOR = 1.5
+        const val MAX_FAILURE_RATE = 0.9
+
+        // Cost of one stream that pauses for too long, in multiples of the target time.
+        const val PAUSE_COST_PART = 0.5
 
         // Keeps an adapter on its first endpoints by rank: where it was held recently it loads faster and without a
         // fetch, so each further rank must save this much.
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -264,7 +264,13 @@
         loads.recordFirstPart(now, state, readMillis, actualMillis, work.newTokens)
         turnScheduler.reportRunBegun(
             endpoint,
-            ServingMessage.RunBegun(endpoint.name, readMillis, actualMillis, work.newTokens),
+            ServingMessage.RunBegun(
+                endpoint.name,
+                readMillis,
+                actualMillis,
+                work.newTokens,
+                state.facts.reportedPercent(now),
+            ),
         )
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -55,6 +55,7 @@
      * @property expectedMillis expected time to read the prompt.
      * @property actualMillis time from sending the request until its answer began.
      * @property newTokens prompt tokens that no engine can have cached; 0 if unknown.
+     * @property workPercent how long work takes on the endpoint's machine now, as its answer states, 100 as usual.
      */
     @Serializable
     @SerialName("b")
@@ -63,6 +64,7 @@
         @SerialName("x") public val expectedMillis: Double,
         @SerialName("m") public val actualMillis: Double,
         @SerialName("n") public val newTokens: Int,
+        @SerialName("p") public val workPercent: Int? = null,
     ) : ServingMessage
 
     /** Requests a permit at [endpoint], which is limited to [perSecond], from the daemon that grants them. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/TurnScheduler.kt
@@ -82,6 +82,7 @@
     /** Records the time until an answer began at an endpoint that this daemon owns. */
     fun receiveRunBegun(now: Long, begun: ServingMessage.RunBegun) {
         val state = registry.get(EndpointId(begun.endpoint)) ?: return
+        begun.workPercent?.let { loads.recordPercent(now, state, it) }
         loads.recordFirstPart(now, state, begun.expectedMillis, begun.actualMillis, begun.newTokens)
     }
 
