--- a/core/src/main/kotlin/io/camphordrum/core/load/EndpointFacts.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/EndpointFacts.kt
@@ -8,12 +8,7 @@
  * @property ended requests that the endpoint answered, whether or not with success.
  * @property failed those of [ended] that failed or were turned away.
  */
-internal data class Observations(
-    val units: Int = 0,
-    val millis: Int = 0,
-    val ended: Int = 0,
-    val failed: Int = 0,
-) {
+internal data class Observations(val units: Int = 0, val millis: Int = 0, val ended: Int = 0, val failed: Int = 0) {
     val isEmpty: Boolean get() = units == 0 && ended == 0
 }
 
