Leave observations in digests whole, and give slow engines the time for their prompts

A daemon subtracted its last counts from a digest that may hold those of another interval, which could leave units without their time. The deadline of a turn left out that a slow engine takes longer to read the prompt.

--- a/core/src/main/kotlin/io/camphordrum/core/load/EndpointFacts.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/EndpointFacts.kt
@@ -43,6 +43,8 @@
         // One request that took exceptionally long says little about the next.
         val bounded = millis.coerceIn(0.0, common * MAX_RATIO)
         addWork(now, 1.0, bounded)
+        // Nobody takes the counts of a daemon that is alone.
+        if (own.units >= MAX_UNITS) takeOwn()
         ownMillis += bounded
         own = own.copy(units = own.units + 1, millis = ownMillis.toInt())
     }
@@ -50,6 +52,7 @@
     /** Records the end of a request. */
     fun recordEnd(now: Long, failed: Boolean) {
         failures.add(now, 1.0, if (failed) 1.0 else 0.0)
+        if (own.ended >= MAX_UNITS) takeOwn()
         own = own.copy(ended = own.ended + 1, failed = own.failed + if (failed) 1 else 0)
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/load/EndpointLoads.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/load/EndpointLoads.kt
@@ -140,7 +140,8 @@
         val common = commonMillis(now, endpoint)
         val facts = service(endpoint)
         if (observations.units > 0) {
-            facts.work.add(now, observations.units.toDouble(), observations.millis.toDouble().coerceAtLeast(0.0))
+            val millis = observations.millis.toDouble().coerceIn(0.0, observations.units * common * MAX_RATIO)
+            facts.work.add(now, observations.units.toDouble(), millis)
         }
         if (observations.ended > 0) {
             val failed = observations.failed.coerceIn(0, observations.ended)
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointRegistry.kt
@@ -198,6 +198,7 @@
         }
     }
 
+    // What was observed is left as it is: the digest may hold this daemon's counts of another interval than [part].
     private fun EndpointLoad.without(part: EndpointLoad?): EndpointLoad = if (part == null) {
         this
     } else {
@@ -205,10 +206,6 @@
             running = maxOf(0, running - part.running),
             unanswered = maxOf(0, unanswered - part.unanswered),
             pendingTokens = maxOf(0, pendingTokens - part.pendingTokens),
-            units = maxOf(0, units - part.units),
-            unitMillis = maxOf(0, unitMillis - part.unitMillis),
-            ended = maxOf(0, ended - part.ended),
-            failed = maxOf(0, failed - part.failed),
         )
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -204,7 +204,8 @@
      */
     public fun awaitTurn(now: Long, work: Work, endpoint: EndpointId, onEnd: (Boolean) -> Unit): () -> Unit {
         // The prompt must still be read after the turn is granted.
-        val readingMillis = work.promptTokens / context.speed(work.service).tokensPerMilli
+        val slowness = registry.get(endpoint)?.let { loads.slowness(now, it) } ?: 1.0
+        val readingMillis = work.promptTokens / context.speed(work.service).tokensPerMilli * slowness
         val turnMillis = work.route.targetMillis * MAX_WAIT_FACTOR - readingMillis
         val untilNanos = work.arrivedNanos + (turnMillis * OrderRights.NANOS_PER_MILLI).toLong()
         var cancelPermit: (() -> Unit)? = null
