--- /dev/null
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
@@ -0,0 +1,248 @@
+package io.camphordrum.core.metering
+
+import io.camphordrum.core.Member
+import io.camphordrum.core.serving.ServedAccount
+
+/**
+ * Enforces account rate limits over all daemons: one account whose callers are spread unevenly over a hundred daemons,
+ * each of which learns of the charges of the others up to a second late.
+ *
+ * Each daemon publishes the tokens that it charged, and every daemon subtracts the charges of all from a token bucket
+ * of its own. The rate and depth of the bucket use what [LimitBound] allows in addition to rate and burst, so a caller
+ * inside its limit never empties it, although charges arrive late. An estimate of the charges that have not arrived is
+ * held back. When little is left, each daemon charges only its part of the rate, because all of them see the same level
+ * and would otherwise use it at the same time. Daemons that are partitioned from the rest use only their part of the
+ * limit.
+ */
+public class AccountMeter(
+    private val self: Member,
+    private val startedNanos: Long,
+    private val bound: LimitBound = LimitBound(),
+) {
+    private class ReportedCharges(var incarnation: Long, var sequence: Long, val charged: HashMap<String, Long>)
+
+    private val buckets = HashMap<String, AccountBucket>()
+    private val ownCharges = HashMap<String, Long>()
+    private val reportedCharges = HashMap<String, ReportedCharges>()
+    private val refusals = LongArray(ChargeRefusal.entries.size)
+    private var groupPart = 1.0
+    private var groupSize = 1
+    private var lagNanos = 0L
+    private var reportedNanos: Long? = null
+    private var activeNanos = startedNanos
+    private var resumedNanos = Long.MIN_VALUE / 2
+    private var newPeerNanos = Long.MIN_VALUE / 2
+    private var hasLevels = false
+
+    /** Tokens that this daemon has charged since its start, less refunds, by account. */
+    public val charged: Map<String, Long> get() = ownCharges
+
+    /** Returns the number of refused charges since the start. */
+    public fun refusalCount(reason: ChargeRefusal): Long = refusals[reason.ordinal]
+
+    /** Applies the limits of [accounts]. */
+    public fun configure(now: Long, accounts: List<ServedAccount>) {
+        val limited = accounts.filter { it.tokensPerSecond > 0 }
+        buckets.keys.retainAll(limited.mapTo(HashSet()) { it.name })
+        for (account in limited) {
+            val bucket = buckets.getOrPut(account.name) { AccountBucket(bound, now) }
+            refill(now, bucket)
+            bucket.configure(account.tokensPerSecond, account.burstTokens)
+            bucket.capGroup(groupPart)
+        }
+    }
+
+    /** Reduces every limit to the part [reachable] / [known] of the daemons. */
+    public fun updateShare(now: Long, reachable: Int, known: Int) {
+        observeActivity(now)
+        buckets.values.forEach { refill(now, it) }
+        val before = groupPart
+        groupSize = reachable.coerceIn(1, maxOf(1, known))
+        groupPart = groupSize.toDouble() / maxOf(1, known)
+        for (bucket in buckets.values) {
+            if (before < 1 && groupPart >= 1) bucket.joinFleet() else bucket.capGroup(groupPart)
+        }
+    }
+
+    /**
+     * Charges [tokens] and returns 0, or charges nothing and returns the estimated wait in milliseconds.
+     *
+     * While any token is available, all [tokens] are charged, even if that overdraws the bucket.
+     */
+    public fun charge(now: Long, account: String, tokens: Int): Long {
+        val bucket = buckets[account] ?: return 0
+        observeActivity(now)
+        refill(now, bucket)
+        val refusal = refusal(now, bucket)
+        if (refusal == null) {
+            deduct(account, bucket, tokens.toLong())
+            return 0
+        }
+        refusals[refusal.ordinal]++
+        return waitMillis(now, bucket, refusal, tokens)
+    }
+
+    /** Refunds [tokens] of a request that has not run. */
+    public fun refund(account: String, tokens: Int) {
+        val bucket = buckets[account] ?: return
+        deduct(account, bucket, -tokens.toLong())
+    }
+
+    /** Returns what a refusal of [account] depends on, for the log. */
+    public fun explain(now: Long, account: String): Map<String, Any?> {
+        val bucket = buckets[account] ?: return emptyMap()
+        return mapOf(
+            "why" to refusal(now, bucket)?.name?.lowercase(),
+            "level" to level(bucket).toLong(),
+            "unseen" to unseenTokens(now, bucket).toLong(),
+            "rationedBelow" to (bucket.rationedBelowTokens * groupPart).toLong(),
+            "ration" to bucket.rationTokens.toLong(),
+            "unreported" to bucket.unreportedTokens.toLong(),
+            "othersPerSecond" to bucket.peerTokensPerSecond.toLong(),
+            "reportAgeMillis" to reportedNanos?.let { (now - it) / NANOS_PER_MILLI },
+            "share" to groupPart,
+            "perSecond" to bucket.tokensPerSecond.toLong(),
+            "depth" to bucket.depthTokens.toLong(),
+        )
+    }
+
+    /**
+     * Records what [member] had charged when it sent its notice [sequence]; older notices are ignored.
+     *
+     * @param charged total tokens by account; accounts that are left out have not changed.
+     */
+    public fun recordPeerCharges(now: Long, member: Member, sequence: Long, charged: Map<String, Long>) {
+        if (member.instance == self.instance) return
+        observeActivity(now)
+        if (now - resumedNanos >= RESUME_NANOS) reportedNanos = now
+        val existing = reportedCharges[member.instance.name]
+        val peer = when {
+            existing == null || existing.incarnation < member.incarnation -> {
+                newPeerNanos = now
+                // Right after its start a daemon cannot distinguish recent charges from old ones. Its own buckets
+                // were empty at the start, so it counts only the changes from then on.
+                val initial = if (knowsLevels(now)) HashMap() else HashMap(charged)
+                ReportedCharges(member.incarnation, sequence, initial).also {
+                    reportedCharges[member.instance.name] = it
+                }
+            }
+            existing.incarnation > member.incarnation || existing.sequence > sequence -> return
+            else -> existing
+        }
+        peer.sequence = sequence
+        for ((account, tokens) in charged) {
+            val newTokens = tokens - (peer.charged.put(account, tokens) ?: 0)
+            if (newTokens == 0L) continue
+            val bucket = buckets[account] ?: continue
+            refill(now, bucket)
+            bucket.takePeer(newTokens)
+        }
+    }
+
+    /**
+     * Returns the levels of all accounts for daemons that have just started.
+     *
+     * Empty while this daemon does not know them, and, unless [always] is set, while no other daemon has just started.
+     */
+    public fun levelsForNewPeers(now: Long, always: Boolean = false): Map<String, Long> {
+        if (!knowsLevels(now) || groupPart < 1) return emptyMap()
+        if (!always && now - newPeerNanos > STARTUP_NANOS) return emptyMap()
+        return buckets.mapValues { (_, bucket) ->
+            refill(now, bucket)
+            bucket.fleetTokens.toLong()
+        }
+    }
+
+    /** Adopts the levels that a longer running daemon knows, if this one has just started. */
+    public fun adoptLevels(now: Long, levels: Map<String, Long>) {
+        if (levels.isEmpty() || knowsLevels(now)) return
+        hasLevels = true
+        for ((account, bucket) in buckets) {
+            refill(now, bucket)
+            bucket.adopt((levels[account] ?: continue).toDouble() - (ownCharges[account] ?: 0))
+        }
+    }
+
+    /**
+     * Starts a new period of reports.
+     *
+     * @param lagMillis usual time from a charge until all other daemons know of it.
+     */
+    public fun renewAllowance(now: Long, lagMillis: Long) {
+        lagNanos = lagMillis * NANOS_PER_MILLI
+        for (bucket in buckets.values) {
+            refill(now, bucket)
+            bucket.unreportedTokens = 0.0
+        }
+    }
+
+    private fun refusal(now: Long, bucket: AccountBucket): ChargeRefusal? {
+        val available = level(bucket) - unseenTokens(now, bucket)
+        return when {
+            available <= 0 -> ChargeRefusal.USED_UP
+            groupSize == 1 -> null
+            available < bucket.rationedBelowTokens * groupPart && bucket.rationTokens <= 0 -> ChargeRefusal.RATIONED
+            // The charges in this period are part of the level already.
+            bucket.unreportedTokens > (available + bucket.unreportedTokens) * UNREPORTED_PART ->
+                ChargeRefusal.UNREPORTED
+            else -> null
+        }
+    }
+
+    private fun waitMillis(now: Long, bucket: AccountBucket, refusal: ChargeRefusal, tokens: Int): Long {
+        val perSecond = maxOf(1.0, bucket.tokensPerSecond * groupPart)
+        val millis = when (refusal) {
+            ChargeRefusal.USED_UP -> (tokens + unseenTokens(now, bucket) - level(bucket)) / perSecond
+            ChargeRefusal.RATIONED -> -bucket.rationTokens / (perSecond * bucket.ownPart(groupSize))
+            ChargeRefusal.UNREPORTED -> lagNanos / 1e9
+        } * 1_000
+        return millis.toLong().coerceIn(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS)
+    }
+
+    private fun level(bucket: AccountBucket) = minOf(bucket.fleetTokens, bucket.groupTokens)
+
+    /** Estimates the charges of the others that have not been reported. */
+    private fun unseenTokens(now: Long, bucket: AccountBucket): Double {
+        if (groupSize == 1) return 0.0
+        val reported = reportedNanos ?: return 0.0
+        val lateNanos = maxOf(0, now - reported - lagNanos)
+        val othersPart = 1 - 1.0 / groupSize
+        val rate = if (lateNanos < MAX_LATE_NANOS) {
+            bucket.peerTokensPerSecond
+        } else {
+            // Nothing was heard for so long that the others may have begun to use the whole rate.
+            maxOf(bucket.peerTokensPerSecond, bucket.tokensPerSecond * groupPart * othersPart)
+        }
+        return rate * (lagNanos + lateNanos) / 1e9
+    }
+
+    private fun knowsLevels(now: Long) = hasLevels || now - startedNanos >= STARTUP_NANOS
+
+    // A process that was stopped reads old reports first when it resumes; they say nothing about the pause.
+    private fun observeActivity(now: Long) {
+        if (now - activeNanos > PAUSE_NANOS) resumedNanos = now
+        activeNanos = maxOf(activeNanos, now)
+    }
+
+    private fun deduct(account: String, bucket: AccountBucket, tokens: Long) {
+        bucket.takeOwn(tokens)
+        ownCharges.merge(account, tokens, Long::plus)
+    }
+
+    private fun refill(now: Long, bucket: AccountBucket) = bucket.refill(now, groupPart, bucket.ownPart(groupSize))
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+
+        // Bounds what one daemon, with a burst of its own callers, takes before the others know of it.
+        const val UNREPORTED_PART = 0.5
+        const val STARTUP_NANOS = 3_000_000_000L
+
+        // Ticks renew the allowance four times a second; after a longer time the process was stopped.
+        const val PAUSE_NANOS = 600_000_000L
+        const val RESUME_NANOS = 250_000_000L
+        const val MAX_LATE_NANOS = 1_000_000_000L
+        const val MIN_WAIT_MILLIS = 50L
+        const val MAX_WAIT_MILLIS = 4_000L
+    }
+}
--- a/core/src/main/kotlin/io/camphordrum/core/serving/FleetDigest.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/FleetDigest.kt
@@ -17,6 +17,7 @@
  * @property owned endpoints and their owners; the adapters of an unchanged endpoint are left out.
  * @property charged charges by daemon.
  * @property prompts what the sender knows about prompts that may crash endpoints; null if nothing.
+ * @property levels tokens that accounts may still use, in full digests, for daemons that have just started.
  * @property limits rate limits of endpoints that daemons have observed in answers; the newest of each endpoint.
  */
 @Serializable
@@ -32,6 +33,7 @@
     @SerialName("c") public val charged: List<DaemonCharges>,
     @SerialName("m") public val limits: List<ReportedLimit> = emptyList(),
     @SerialName("p") public val prompts: PromptReport? = null,
+    @SerialName("v") public val levels: Map<String, Long> = emptyMap(),
 ) : ServingMessage
 
 /** Pairs an endpoint with the daemon that owns it. */
--- a/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
@@ -1,5 +1,6 @@
 package io.camphordrum.core.serving
 
+import io.camphordrum.core.metering.AccountMeter
 import kotlin.random.Random
 
 /**
@@ -42,6 +43,7 @@
                 meter.recordPeerCharges(now, relay.member, relay.sequence, relay.charged)
             }
         }
+        meter.adoptLevels(now, notice.levels)
         registry.applyNotice(now, from, notice)
         limits.applyReports(now, notice.limits)
         notice.prompts?.let { prompts.receive(now, it) }
@@ -63,7 +65,7 @@
         localSentNanos = now
         if (includeRemote) remoteSentNanos = now
         meter.updateShare(now, peers.reachableCount(now), peers.knownCount)
-        meter.renewAllowance(now, REMOTE_NOTICE_NANOS / OrderRights.NANOS_PER_MILLI)
+        meter.renewAllowance(now, if (peers.usesRelays) RELAYED_LAG_MILLIS else LAG_MILLIS)
         if (peers.usesRelays) return relays.sendDue(now)
         sendToEach(now, includeRemote)
         if (includeRemote) prompts.hasNews = false
@@ -102,6 +104,7 @@
         relayed = emptyList(),
         limits = limits.ownReports(now),
         prompts = prompts.report(now),
+        levels = if (peers.usesRelays) emptyMap() else meter.levelsForNewPeers(now),
     )
 
     private fun ownLoads(): List<EndpointLoad> = registry.all.filter {
@@ -119,6 +122,10 @@
         const val LOCAL_NOTICE_NANOS = 250_000_000L
         const val REMOTE_NOTICE_NANOS = 500_000_000L
 
+        // Half of an interval until a charge is sent, and the same for each relay on its way.
+        const val LAG_MILLIS = 250L
+        const val RELAYED_LAG_MILLIS = 400L
+
         // A crash is detected by several daemons within a few milliseconds; their news share a notice.
         const val URGENT_NOTICE_NANOS = 50_000_000L
 
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
@@ -1,6 +1,7 @@
 package io.camphordrum.core.serving
 
 import io.camphordrum.core.DataCentreId
+import io.camphordrum.core.metering.AccountMeter
 
 /**
  * Distributes notices in a large fleet.
@@ -132,6 +133,7 @@
             meter.recordPeerCharges(now, charges.member, charges.sequence, charges.charged)
             ledger.record(charges.member, charges.sequence, charges.charged)
         }
+        if (fromOwnRelay) meter.adoptLevels(now, digest.levels)
     }
 
     /** Makes the daemons that report to this one choose another relay. */
@@ -161,7 +163,12 @@
                 prompts.report(now),
             )
         val full by lazy {
-            changes.copy(full = true, owned = publishedOwned.values.toList(), charged = localCharges.all())
+            changes.copy(
+                full = true,
+                owned = publishedOwned.values.toList(),
+                charged = localCharges.all(),
+                levels = meter.levelsForNewPeers(now, always = true),
+            )
         }
         for ((name, report) in reports) {
             val daemon = peers.get(name) ?: continue
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -4,6 +4,8 @@
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.EndpointId
 import io.camphordrum.core.Member
+import io.camphordrum.core.metering.AccountMeter
+import io.camphordrum.core.metering.ChargeRefusal
 import kotlin.random.Random
 
 /**
@@ -38,7 +40,7 @@
     ) { turnScheduler.queuedTokens(it) }
     private val turnScheduler: TurnScheduler = TurnScheduler(context) { ownership.owns(it) }
     private val selector = EndpointSelector(context) { ownership.loadMillis }
-    private val meter = AccountMeter(options.self, startedNanos, options.limitSlackTokens)
+    private val meter = AccountMeter(options.self, startedNanos, options.limitBound)
     private val limits = EndpointLimits(context)
 
     /** Blocks requests whose prompt crashes endpoints. */
@@ -116,7 +118,14 @@
 
     /** Charges [work] to its account; returns 0, or the milliseconds after which the caller may retry. */
     public fun charge(now: Long, work: Work): Long =
-        work.account?.let { meter.charge(now, it, work.chargedTokens) } ?: 0
+        work.account?.let { meter.charge(now, it, work.chargedTokens) }?.takeIf { it > 0 }?.let(::retryMillis) ?: 0
+
+    /** Returns what the refusal of a charge of [work] depended on, for the log. */
+    public fun explainLimit(now: Long, work: Work): Map<String, Any?> =
+        work.account?.let { meter.explain(now, it) }.orEmpty()
+
+    /** Returns the number of charges refused for [reason]. */
+    public fun limitRefusalCount(reason: ChargeRefusal): Long = meter.refusalCount(reason)
 
     /** Refunds the charge of [work], which has not run. */
     public fun refund(work: Work) {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingNotice.kt
@@ -133,6 +133,7 @@
  * @property relayed charges of other daemons, so that daemons that cannot reach each other still share limits.
  * @property limits rate limits of endpoints that the sender has observed in answers.
  * @property prompts what the sender knows about prompts that may crash endpoints; null if nothing.
+ * @property levels tokens that accounts may still use, while other daemons have just started.
  */
 @Serializable
 @SerialName("n")
@@ -146,6 +147,7 @@
     @SerialName("r") public val relayed: List<RelayedCharges>,
     @SerialName("m") public val limits: List<ReportedLimit> = emptyList(),
     @SerialName("p") public val prompts: PromptReport? = null,
+    @SerialName("v") public val levels: Map<String, Long> = emptyMap(),
 ) : ServingMessage
 
 /**
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingOptions.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingOptions.kt
@@ -2,6 +2,7 @@
 
 import io.camphordrum.core.DataCentreId
 import io.camphordrum.core.Member
+import io.camphordrum.core.metering.LimitBound
 
 /**
  * Holds the limits and identities for the serving decisions of one daemon.
@@ -15,7 +16,7 @@
  * @property coldFactor factor by which the requests to a cold endpoint in a second may exceed its rate.
  * @property coldSlack requests in addition to [coldFactor].
  * @property leaseMillis minimum time between the last order of one daemon and the first of another to an endpoint.
- * @property limitSlackTokens tokens by which the usage of an account over all daemons may exceed its rate and burst.
+ * @property limitBound how far the usage of an account over all daemons may exceed its rate and burst.
  * @property baseLoadWindowMillis window in which loads of base models from the weight store are counted.
  * @property baseLoadFactor factor by which the loads in that window may exceed the rate of the weight store.
  * @property seed seed of the choices between services and of the jitter of Retry-After.
@@ -29,7 +30,7 @@
     public val coldFactor: Double = 1.5,
     public val coldSlack: Double = 5.0,
     public val leaseMillis: Long = 3_000,
-    public val limitSlackTokens: Double = 0.0,
+    public val limitBound: LimitBound = LimitBound(),
     public val baseLoadWindowMillis: Long = 5_000,
     public val baseLoadFactor: Double = 1.1,
     public val seed: Long = 0,
--- a/core/src/test/kotlin/io/camphordrum/core/serving/AccountMeterTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/metering/AccountMeterTest.kt
@@ -1,7 +1,9 @@
-package io.camphordrum.core.serving
+package io.camphordrum.core.metering
 
 import io.camphordrum.core.InstanceId
 import io.camphordrum.core.Member
+import io.camphordrum.core.serving.ManualClock
+import io.camphordrum.core.serving.ServedAccount
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarder.kt
@@ -154,7 +154,7 @@
                 "account" to work.account,
                 "tokens" to work.chargedTokens,
                 "retryMillis" to retryMillis,
-            ),
+            ) + core.explainLimit(work.arrivedNanos, work),
         )
         exchange.answer(
             Own.LIMIT.status,
--- a/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
+++ b/daemon/src/main/kotlin/io/camphordrum/daemon/edge/Forwarding.kt
@@ -233,7 +233,9 @@
 
     private fun callerDisconnected() {
         if (!finish()) return
+        val mayHaveRun = run != null || possibleRuns > 0
         run?.cancel()
+        if (!mayHaveRun) core.refund(work)
         forwarder.metrics.answers.labelValues("caller_gone").inc()
         EdgeLog.write("caller_gone", fields())
     }
