--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
@@ -29,24 +29,35 @@
     var rationTokens = 0.0
         private set
     private var rationPerSecond = 0.0
+    private var rationsFill = true
+    private var pausedTokens = 0.0
+    private var pausedUntilNanos = Long.MIN_VALUE
+    private var separatedTokens = 0.0
     var unreportedTokens = 0.0
 
     /** Average over the last seconds. */
     var peerTokensPerSecond = 0.0
         private set
     private var ownTokensPerSecond = 0.0
+    private var slowPeerTokensPerSecond = 0.0
 
     /** Below this level, daemons charge their rations only. */
     val rationedBelowTokens: Double
         get() = if (reserveTokens > 0) reserveTokens * RATIONED_PART else depthTokens * RATIONED_DEPTH_PART
 
-    fun configure(rate: Double, burstTokens: Double) {
+    /** @param isNewAccount whether nobody has used the account before; otherwise its use before this call is unknown. */
+    fun configure(rate: Double, burstTokens: Double, isNewAccount: Boolean) {
         val windowSeconds = bound.windowMillis / MILLIS_PER_SECOND
         val windowTokens = (rate * windowSeconds + burstTokens) * (1 + bound.overage) + bound.slackTokens
         val before = depthTokens
         tokensPerSecond = rate * (1 + bound.overage * RATE_OVERAGE_PART)
-        depthTokens = windowTokens - tokensPerSecond * windowSeconds
-        reserveTokens = depthTokens - burstTokens
+        reserveTokens = (windowTokens - tokensPerSecond * windowSeconds - burstTokens) * (1 - KEPT_PART)
+        depthTokens = burstTokens + reserveTokens
+        if (before == 0.0) {
+            // After the loss of all daemons, the account has had at least the time of a start to refill.
+            fleetTokens = if (isNewAccount) depthTokens else reserveTokens * START_PART
+            groupTokens = fleetTokens
+        }
         // A lower limit keeps the same part of its bucket: neither its level nor its debt of the higher rate is left.
         if (before > depthTokens) {
             fleetTokens *= depthTokens / before
@@ -55,33 +66,58 @@
         }
     }
 
-    fun refill(now: Long, groupPart: Double, ownPart: Double) {
+    /** Adds the tokens since the last call; [lagSeconds] is the usual age of the newest known charges of others. */
+    fun refill(now: Long, groupPart: Double, ownPart: Double, lagSeconds: Double) {
         val elapsed = now - updatedNanos
         if (elapsed <= 0) return
         updatedNanos = now
         val seconds = elapsed / NANOS_PER_SECOND
-        fleetTokens = minOf(depthTokens, fleetTokens + tokensPerSecond * seconds)
-        groupTokens = minOf(depthTokens * groupPart, groupTokens + tokensPerSecond * groupPart * seconds)
-        rationPerSecond = tokensPerSecond * groupPart * ownPart
-        rationTokens = minOf(rationPerSecond * MAX_RATION_SECONDS, rationTokens + rationPerSecond * seconds)
+        // A level that leaves out the charges of the last moment is as much above the depth when the account has all.
+        val unseen = minOf(tokensPerSecond, slowPeerTokensPerSecond) * lagSeconds * MAX_LAG_FACTOR
+        raiseCap(now, seconds, groupPart)
+        fleetTokens = minOf(depthTokens + unseen + lateTokens, fleetTokens + tokensPerSecond * seconds)
+        groupTokens = minOf(depthTokens * groupPart + unseen + pausedTokens, groupTokens + tokensPerSecond * groupPart * seconds)
+        rationPerSecond = if (rationsFill) tokensPerSecond * groupPart * ownPart else 0.0
+        rationTokens = minOf(tokensPerSecond * groupPart * ownPart * MAX_RATION_SECONDS, rationTokens + rationPerSecond * seconds)
         val kept = exp(-seconds / AVERAGE_SECONDS)
-        peerTokensPerSecond *= kept
+        peerTokensPerSecond *= exp(-seconds / PEER_AVERAGE_SECONDS)
         ownTokensPerSecond *= kept
+        slowPeerTokensPerSecond *= kept
+    }
+
+    // Charges made in a pause of this process, or by daemons that are not heard, arrive when the level is full already.
+    private fun raiseCap(now: Long, seconds: Double, groupPart: Double) {
+        if (seconds > PAUSE_SECONDS) {
+            pausedTokens = tokensPerSecond * seconds
+            pausedUntilNanos = now + PAUSED_CAP_NANOS
+        } else if (now > pausedUntilNanos) {
+            pausedTokens = 0.0
+        }
+        separatedTokens += tokensPerSecond * (1 - groupPart) * seconds
     }
 
     /** Returns the part of the group's tokens that this daemon may ration to itself, of [daemons] in the group. */
     fun ownPart(daemons: Int): Double {
-        val total = ownTokensPerSecond + peerTokensPerSecond
+        val total = ownTokensPerSecond + slowPeerTokensPerSecond
         val used = if (total > 0) ownTokensPerSecond / total else 1.0 / daemons
         return USED_PART * used + (1 - USED_PART) / daemons
     }
 
+    /** Stops rations from growing while nothing is left, so that they are not all used at the next moment. */
+    fun setRationFill(usedUp: Boolean) {
+        rationsFill = !usedUp
+    }
+
+    private val lateTokens get() = pausedTokens + separatedTokens
+
+    /** Caps the level at the part of the depth that belongs to the group. */
     fun capGroup(groupPart: Double) {
         groupTokens = minOf(groupTokens, depthTokens * groupPart)
     }
 
     /** Ends the separation of the group: all charges of the others have been subtracted from [fleetTokens]. */
     fun joinFleet() {
+        separatedTokens = 0.0
         groupTokens = fleetTokens
     }
 
@@ -90,17 +126,25 @@
         groupTokens -= tokens
         unreportedTokens += tokens
         // A daemon repays its last request, but not all that it charged while enough was left.
-        val maxDebt = maxOf(tokens.toDouble(), rationPerSecond * MAX_RATION_SECONDS)
+        val maxDebt = maxOf(tokens.toDouble(), rationPerSecond * MAX_DEBT_SECONDS)
         rationTokens = maxOf(rationTokens - tokens, minOf(rationTokens, -maxDebt))
         ownTokensPerSecond = maxOf(0.0, ownTokensPerSecond + tokens / AVERAGE_SECONDS)
     }
 
-    fun takePeer(tokens: Long) {
+    /**
+     * Subtracts the charge of another daemon.
+     *
+     * @param gapSeconds time in which no charges had arrived before.
+     * @param inGroup whether the charge was made out of the part of the group.
+     */
+    fun takePeer(tokens: Long, gapSeconds: Double, inGroup: Boolean) {
         fleetTokens -= tokens
+        if (!inGroup) return
         groupTokens -= tokens
-        val rate = peerTokensPerSecond + tokens / AVERAGE_SECONDS
-        // Charges of many seconds arrive at once when a connection is back.
+        val rate = peerTokensPerSecond + tokens / maxOf(PEER_AVERAGE_SECONDS, gapSeconds)
         peerTokensPerSecond = rate.coerceIn(0.0, tokensPerSecond * MAX_PEER_RATE)
+        val slowRate = slowPeerTokensPerSecond + tokens / maxOf(AVERAGE_SECONDS, gapSeconds)
+        slowPeerTokensPerSecond = maxOf(0.0, slowRate)
     }
 
     /** Replaces the level with the one that a longer running daemon knows. */
@@ -114,16 +158,29 @@
         const val NANOS_PER_SECOND = 1e9
 
         // Part of the overage that is given as rate. The rest is depth: it bears charges that are not yet known.
-        const val RATE_OVERAGE_PART = 0.5
-        const val RATIONED_PART = 0.5
+        const val RATE_OVERAGE_PART = 0.0
+        const val RATIONED_PART = 0.25
+
+        // Part of the reserve that is never given: a surge is known only when it has lasted for a report.
+        const val KEPT_PART = 0.5
+        const val START_PART = 0.5
 
         // Without overage and slack, nothing but the burst bears unknown charges.
         const val RATIONED_DEPTH_PART = 0.25
 
         // Rations follow the use of the last seconds; the rest is for daemons that had no callers.
+        const val PAUSE_SECONDS = 0.6
+        const val PAUSED_CAP_NANOS = 500_000_000L
         const val USED_PART = 0.8
-        const val MAX_RATION_SECONDS = 1.0
+        const val MAX_RATION_SECONDS = 0.25
+        const val MAX_DEBT_SECONDS = 1.0
         const val AVERAGE_SECONDS = 2.0
-        const val MAX_PEER_RATE = 2.0
+
+        // Follows a surge within two reports.
+        const val PEER_AVERAGE_SECONDS = 0.6
+
+        // Charges of another data centre are up to this many times as old as usual.
+        const val MAX_LAG_FACTOR = 2.5
+        const val MAX_PEER_RATE = 1.25
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
@@ -2,6 +2,7 @@
 
 import io.camphordrum.core.Member
 import io.camphordrum.core.serving.ServedAccount
+import kotlin.random.Random
 
 /**
  * Enforces account rate limits over all daemons: one account whose callers are spread unevenly over a hundred daemons,
@@ -18,21 +19,36 @@
     private val self: Member,
     private val startedNanos: Long,
     private val bound: LimitBound = LimitBound(),
+    private val dataCentreOf: (daemon: String) -> String? = { "" },
 ) {
     private class ReportedCharges(var incarnation: Long, var sequence: Long, val charged: HashMap<String, Long>)
 
+    /** Tracks when charges of any daemon of one data centre last arrived, and how long none had arrived before. */
+    private class DataCentreReports(var reportedNanos: Long) {
+        var gapNanos = 0L
+
+        // Until then, charges arrive that were made while the data centre was unreachable, out of its own part.
+        var returningUntilNanos = Long.MIN_VALUE / 2
+    }
+
     private val buckets = HashMap<String, AccountBucket>()
     private val ownCharges = HashMap<String, Long>()
     private val reportedCharges = HashMap<String, ReportedCharges>()
     private val refusals = LongArray(ChargeRefusal.entries.size)
+    private var lastRefusal: ChargeRefusal? = null
+    private val random = Random(self.instance.name.hashCode())
     private var groupPart = 1.0
     private var groupSize = 1
     private var lagNanos = 0L
-    private var reportedNanos: Long? = null
+    private val dataCentres = HashMap<String, DataCentreReports>()
+    private var dataCentreSizes = emptyMap<String, Int>()
+    private var largerPartSinceNanos: Long? = null
+    private var knownCount = 1
     private var activeNanos = startedNanos
     private var resumedNanos = Long.MIN_VALUE / 2
     private var newPeerNanos = Long.MIN_VALUE / 2
     private var hasLevels = false
+    private var isConfigured = false
 
     /** Tokens that this daemon has charged since its start, less refunds, by account. */
     public val charged: Map<String, Long> get() = ownCharges
@@ -44,24 +60,50 @@
     public fun configure(now: Long, accounts: List<ServedAccount>) {
         val limited = accounts.filter { it.tokensPerSecond > 0 }
         buckets.keys.retainAll(limited.mapTo(HashSet()) { it.name })
+        val isNewAccount = isConfigured && knowsLevels(now)
+        isConfigured = true
         for (account in limited) {
             val bucket = buckets.getOrPut(account.name) { AccountBucket(bound, now) }
             refill(now, bucket)
-            bucket.configure(account.tokensPerSecond, account.burstTokens)
+            bucket.configure(account.tokensPerSecond, account.burstTokens, isNewAccount)
             bucket.capGroup(groupPart)
         }
     }
 
-    /** Reduces every limit to the part [reachable] / [known] of the daemons. */
-    public fun updateShare(now: Long, reachable: Int, known: Int) {
+    /**
+     * Reduces every limit to the part [reachable] / [known] of the daemons.
+     *
+     * A larger part takes effect when the charges of the daemons that are back have had time to arrive.
+     *
+     * @param dataCentreSizes number of daemons by data centre; those of a data centre that is not heard while others are
+     *   do not count as reachable.
+     */
+    public fun updateShare(now: Long, reachable: Int, known: Int, dataCentreSizes: Map<String, Int> = emptyMap()) {
         observeActivity(now)
-        buckets.values.forEach { refill(now, it) }
-        val before = groupPart
-        groupSize = reachable.coerceIn(1, maxOf(1, known))
-        groupPart = groupSize.toDouble() / maxOf(1, known)
-        for (bucket in buckets.values) {
-            if (before < 1 && groupPart >= 1) bucket.joinFleet() else bucket.capGroup(groupPart)
+        this.dataCentreSizes = dataCentreSizes
+        knownCount = maxOf(1, known)
+        // A process that was paused has not read yet what the others sent.
+        if (now - resumedNanos < RESUME_NANOS) return
+        val size = minOf(reachable, knownCount - lateDaemons(now)).coerceIn(1, knownCount)
+        val part = size.toDouble() / knownCount
+        if (part < groupPart) {
+            for (bucket in buckets.values) {
+                refill(now, bucket)
+                bucket.capGroup(part)
+            }
+        }
+        if (part <= groupPart || now - startedNanos < STARTUP_NANOS) {
+            largerPartSinceNanos = null
+        } else {
+            val since = largerPartSinceNanos ?: now.also { largerPartSinceNanos = it }
+            if (now - since < JOIN_NANOS) return
+            largerPartSinceNanos = null
         }
+        val joins = groupPart < 1 && part >= 1
+        if (part != groupPart) buckets.values.forEach { refill(now, it) }
+        groupSize = size
+        groupPart = part
+        if (joins) buckets.values.forEach { it.joinFleet() }
     }
 
     /**
@@ -73,12 +115,14 @@
         val bucket = buckets[account] ?: return 0
         observeActivity(now)
         refill(now, bucket)
-        val refusal = refusal(now, bucket)
+        val refusal = refusal(now, bucket, tokens)
+        bucket.setRationFill(refusal == ChargeRefusal.USED_UP)
         if (refusal == null) {
             deduct(account, bucket, tokens.toLong())
             return 0
         }
         refusals[refusal.ordinal]++
+        lastRefusal = refusal
         return waitMillis(now, bucket, refusal, tokens)
     }
 
@@ -92,14 +136,14 @@
     public fun explain(now: Long, account: String): Map<String, Any?> {
         val bucket = buckets[account] ?: return emptyMap()
         return mapOf(
-            "why" to refusal(now, bucket)?.name?.lowercase(),
+            "why" to lastRefusal?.name?.lowercase(),
             "level" to level(bucket).toLong(),
             "unseen" to unseenTokens(now, bucket).toLong(),
             "rationedBelow" to (bucket.rationedBelowTokens * groupPart).toLong(),
             "ration" to bucket.rationTokens.toLong(),
             "unreported" to bucket.unreportedTokens.toLong(),
             "othersPerSecond" to bucket.peerTokensPerSecond.toLong(),
-            "reportAgeMillis" to reportedNanos?.let { (now - it) / NANOS_PER_MILLI },
+            "reportAgeMillis" to dataCentres.values.minOfOrNull { it.reportedNanos }?.let { (now - it) / NANOS_PER_MILLI },
             "share" to groupPart,
             "perSecond" to bucket.tokensPerSecond.toLong(),
             "depth" to bucket.depthTokens.toLong(),
@@ -114,14 +158,17 @@
     public fun recordPeerCharges(now: Long, member: Member, sequence: Long, charged: Map<String, Long>) {
         if (member.instance == self.instance) return
         observeActivity(now)
-        if (now - resumedNanos >= RESUME_NANOS) reportedNanos = now
         val existing = reportedCharges[member.instance.name]
+        val isNews = existing == null || existing.incarnation < member.incarnation || existing.sequence < sequence
+        val dataCentre = recordArrival(now, member, isNews)
         val peer = when {
             existing == null || existing.incarnation < member.incarnation -> {
                 newPeerNanos = now
                 // Right after its start a daemon cannot distinguish recent charges from old ones. Its own buckets
                 // were empty at the start, so it counts only the changes from then on.
-                val initial = if (knowsLevels(now)) HashMap() else HashMap(charged)
+                val startedLater = existing != null || member.incarnation > self.incarnation
+                val counts = knowsLevels(now) && (startedLater || now - startedNanos >= STARTUP_NANOS)
+                val initial = if (counts) HashMap() else HashMap(charged)
                 ReportedCharges(member.incarnation, sequence, initial).also {
                     reportedCharges[member.instance.name] = it
                 }
@@ -135,7 +182,8 @@
             if (newTokens == 0L) continue
             val bucket = buckets[account] ?: continue
             refill(now, bucket)
-            bucket.takePeer(newTokens)
+            val returning = dataCentre != null && now < dataCentre.returningUntilNanos
+            bucket.takePeer(newTokens, (dataCentre?.gapNanos ?: 0) / 1e9, inGroup = !returning)
         }
     }
 
@@ -145,11 +193,11 @@
      * Empty while this daemon does not know them, and, unless [always] is set, while no other daemon has just started.
      */
     public fun levelsForNewPeers(now: Long, always: Boolean = false): Map<String, Long> {
-        if (!knowsLevels(now) || groupPart < 1) return emptyMap()
+        if (!knowsLevels(now)) return emptyMap()
         if (!always && now - newPeerNanos > STARTUP_NANOS) return emptyMap()
         return buckets.mapValues { (_, bucket) ->
             refill(now, bucket)
-            bucket.fleetTokens.toLong()
+            level(bucket).toLong()
         }
     }
 
@@ -176,12 +224,12 @@
         }
     }
 
-    private fun refusal(now: Long, bucket: AccountBucket): ChargeRefusal? {
+    private fun refusal(now: Long, bucket: AccountBucket, tokens: Int): ChargeRefusal? {
         val available = level(bucket) - unseenTokens(now, bucket)
         return when {
             available <= 0 -> ChargeRefusal.USED_UP
             groupSize == 1 -> null
-            available < bucket.rationedBelowTokens * groupPart && bucket.rationTokens <= 0 -> ChargeRefusal.RATIONED
+            available < bucket.rationedBelowTokens * groupPart && !mayRation(bucket, tokens) -> ChargeRefusal.RATIONED
             // The charges in this period are part of the level already.
             bucket.unreportedTokens > (available + bucket.unreportedTokens) * UNREPORTED_PART ->
                 ChargeRefusal.UNREPORTED
@@ -189,11 +237,14 @@
         }
     }
 
+    // Most daemons have less than one request left to ration. They admit some requests whole, not one each.
+    private fun mayRation(bucket: AccountBucket, tokens: Int) = bucket.rationTokens > tokens * random.nextDouble()
+
     private fun waitMillis(now: Long, bucket: AccountBucket, refusal: ChargeRefusal, tokens: Int): Long {
         val perSecond = maxOf(1.0, bucket.tokensPerSecond * groupPart)
         val millis = when (refusal) {
             ChargeRefusal.USED_UP -> (tokens + unseenTokens(now, bucket) - level(bucket)) / perSecond
-            ChargeRefusal.RATIONED -> -bucket.rationTokens / (perSecond * bucket.ownPart(groupSize))
+            ChargeRefusal.RATIONED -> (tokens - bucket.rationTokens) / (perSecond * bucket.ownPart(groupSize))
             ChargeRefusal.UNREPORTED -> lagNanos / 1e9
         } * 1_000
         return millis.toLong().coerceIn(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS)
@@ -204,20 +255,32 @@
     /** Estimates the charges of the others that have not been reported. */
     private fun unseenTokens(now: Long, bucket: AccountBucket): Double {
         if (groupSize == 1) return 0.0
-        val reported = reportedNanos ?: return 0.0
-        val lateNanos = maxOf(0, now - reported - lagNanos)
-        val othersPart = 1 - 1.0 / groupSize
-        val rate = if (lateNanos < MAX_LATE_NANOS) {
-            bucket.peerTokensPerSecond
-        } else {
-            // Nothing was heard for so long that the others may have begun to use the whole rate.
-            maxOf(bucket.peerTokensPerSecond, bucket.tokensPerSecond * groupPart * othersPart)
-        }
-        return rate * (lagNanos + lateNanos) / 1e9
+        var unseen = bucket.peerTokensPerSecond * lagNanos / 1e9
+        // While nobody is heard, the others may have begun to use all that is left.
+        val lateNanos = now - (dataCentres.values.maxOfOrNull { it.reportedNanos } ?: return unseen)
+        if (lateNanos > MAX_SILENCE_NANOS) unseen += bucket.tokensPerSecond * groupPart * lateNanos / 1e9
+        return unseen
+    }
+
+    /** Returns the number of daemons of data centres that are not heard, while others are. */
+    private fun lateDaemons(now: Long): Int {
+        val late = dataCentres.filterValues { now - it.reportedNanos > MAX_LATE_NANOS }.keys
+        return if (late.size == dataCentres.size) 0 else late.sumOf { dataCentreSizes[it] ?: 0 }
     }
 
     private fun knowsLevels(now: Long) = hasLevels || now - startedNanos >= STARTUP_NANOS
 
+    private fun recordArrival(now: Long, member: Member, isNews: Boolean): DataCentreReports? {
+        val name = dataCentreOf(member.instance.name) ?: return null
+        val reports = dataCentres.getOrPut(name) { DataCentreReports(now) }
+        // Relays also forward what they heard before a data centre was cut off.
+        if (!isNews || now - resumedNanos < RESUME_NANOS || now == reports.reportedNanos) return reports
+        reports.gapNanos = now - reports.reportedNanos
+        reports.reportedNanos = now
+        if (groupPart < 1 && reports.gapNanos > MAX_LATE_NANOS) reports.returningUntilNanos = now + JOIN_NANOS
+        return reports
+    }
+
     // A process that was stopped reads old reports first when it resumes; they say nothing about the pause.
     private fun observeActivity(now: Long) {
         if (now - activeNanos > PAUSE_NANOS) resumedNanos = now
@@ -229,7 +292,8 @@
         ownCharges.merge(account, tokens, Long::plus)
     }
 
-    private fun refill(now: Long, bucket: AccountBucket) = bucket.refill(now, groupPart, bucket.ownPart(groupSize))
+    private fun refill(now: Long, bucket: AccountBucket) =
+        bucket.refill(now, groupPart, bucket.ownPart(groupSize), lagNanos / 1e9)
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
@@ -241,7 +305,15 @@
         // Ticks renew the allowance four times a second; after a longer time the process was stopped.
         const val PAUSE_NANOS = 600_000_000L
         const val RESUME_NANOS = 250_000_000L
-        const val MAX_LATE_NANOS = 1_000_000_000L
+
+        // Two digests between data centres; then each side has its part of the limit.
+        const val MAX_LATE_NANOS = 1_100_000_000L
+
+        // Two digests of the relay.
+        const val MAX_SILENCE_NANOS = 600_000_000L
+
+        // Two digests, so that all charges of a data centre that was cut off have arrived.
+        const val JOIN_NANOS = 1_250_000_000L
         const val MIN_WAIT_MILLIS = 50L
         const val MAX_WAIT_MILLIS = 4_000L
     }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/NoticeExchange.kt
@@ -64,7 +64,7 @@
         if (!urgent && now - localSentNanos < LOCAL_NOTICE_NANOS) return
         localSentNanos = now
         if (includeRemote) remoteSentNanos = now
-        meter.updateShare(now, peers.reachableCount(now), peers.knownCount)
+        meter.updateShare(now, peers.reachableCount(now), peers.knownCount, peers.dataCentreSizes)
         meter.renewAllowance(now, if (peers.usesRelays) RELAYED_LAG_MILLIS else LAG_MILLIS)
         if (peers.usesRelays) return relays.sendDue(now)
         sendToEach(now, includeRemote)
--- a/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/PeerTable.kt
@@ -42,12 +42,17 @@
     var others: List<RegisteredDaemon> = emptyList()
         private set
 
+    /** Number of registered daemons by data centre. */
+    var dataCentreSizes: Map<String, Int> = emptyMap()
+        private set
+
     private val liveTimeoutNanos: Long get() = if (usesRelays) RELAYED_LIVE_TIMEOUT_NANOS else LIVE_TIMEOUT_NANOS
 
     fun replaceRegistered(daemons: Collection<RegisteredDaemon>) {
         registered.clear()
         daemons.associateByTo(registered) { it.member.instance.name }
         others = registered.values.filter { it.member.instance != self.instance }
+        dataCentreSizes = registered.values.groupingBy { it.dataCentre.name }.eachCount()
     }
 
     fun get(daemon: String): RegisteredDaemon? = registered[daemon]
--- a/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/Relays.kt
@@ -116,6 +116,11 @@
         if (digest.full) fullDigestReceivedFrom[name] = digest.sender.incarnation
         val fromOwnRelay =
             sender.dataCentre == dataCentre && contacts[dataCentre]?.daemon?.member?.instance == digest.sender.instance
+        // Changes that were lost while a data centre was cut off would otherwise arrive seconds after it is back.
+        val previous = digests[name]
+        if (sender.dataCentre != dataCentre && (previous == null || now - previous.receivedNanos > CUT_NANOS)) {
+            fullDigestSentTo -= name
+        }
         val received = ReceivedDigest(digest, now, sender.dataCentre)
         if (fromOwnRelay) relayDigest = received else digests[name] = received
         preferSender(now, sender)
@@ -352,6 +357,9 @@
         // Every adapter list is resent within this many digests, because messages may be lost.
         const val DIGESTS_PER_ADAPTER_LIST = 16L
 
+        // Two digests of a remote relay.
+        const val CUT_NANOS = 1_100_000_000L
+
         const val DIGESTS_PER_FULL_DIGEST = 24L
 
         // Every owner is resent within this many digests, well before it would count as unreachable.
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -40,7 +40,7 @@
     ) { turnScheduler.queuedTokens(it) }
     private val turnScheduler: TurnScheduler = TurnScheduler(context) { ownership.owns(it) }
     private val selector = EndpointSelector(context) { ownership.loadMillis }
-    private val meter = AccountMeter(options.self, startedNanos, options.limitBound)
+    private val meter = AccountMeter(options.self, startedNanos, options.limitBound) { peers.get(it)?.dataCentre?.name }
     private val limits = EndpointLimits(context)
 
     /** Blocks requests whose prompt crashes endpoints. */
