--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
@@ -25,11 +25,11 @@
     var groupTokens = 0.0
         private set
 
-    /** Tokens that this daemon may still charge when little is left; below 0 after a large request. */
+    /** Tokens that this daemon may charge at its next request when little is left. */
     var rationTokens = 0.0
         private set
-    private var rationPerSecond = 0.0
-    private var rationsFill = true
+    private var rationFactor = 1.0
+    private var scarceUntilNanos = Long.MIN_VALUE
     private var pausedTokens = 0.0
     private var pausedUntilNanos = Long.MIN_VALUE
     private var separatedTokens = 0.0
@@ -41,9 +41,11 @@
     private var ownTokensPerSecond = 0.0
     private var slowPeerTokensPerSecond = 0.0
 
-    /** Below this level, daemons charge their rations only. */
-    val rationedBelowTokens: Double
-        get() = if (reserveTokens > 0) reserveTokens * RATIONED_PART else depthTokens * RATIONED_DEPTH_PART
+    private val lowTokens get() =
+        if (reserveTokens > 0) reserveTokens * RATIONED_PART else depthTokens * RATIONED_DEPTH_PART
+
+    /** Returns the level below which daemons charge their rations only; higher for seconds after it was reached. */
+    fun rationedBelow(now: Long): Double = if (now < scarceUntilNanos) depthTokens * SCARCE_PART else lowTokens
 
     /** @param isNewAccount whether nobody has used the account before; otherwise its use before this call is unknown. */
     fun configure(rate: Double, burstTokens: Double, isNewAccount: Boolean) {
@@ -58,14 +60,16 @@
             fleetTokens = if (isNewAccount) depthTokens else reserveTokens * START_PART
             groupTokens = fleetTokens
         }
-        // A lower limit keeps the same part of its bucket: neither its level nor its debt of the higher rate is left.
+        // A debt of the higher rate would block the lower one for longer.
         if (before > depthTokens) {
-            fleetTokens *= depthTokens / before
-            groupTokens *= depthTokens / before
-            rationTokens *= depthTokens / before
+            fleetTokens = lowered(fleetTokens, before)
+            groupTokens = lowered(groupTokens, before)
         }
     }
 
+    private fun lowered(tokens: Double, before: Double) =
+        if (tokens < 0) tokens * depthTokens / before else minOf(tokens, depthTokens)
+
     /** Adds the tokens since the last call; [lagSeconds] is the usual age of the newest known charges of others. */
     fun refill(now: Long, groupPart: Double, ownPart: Double, lagSeconds: Double) {
         val elapsed = now - updatedNanos
@@ -77,7 +81,7 @@
         raiseCap(now, seconds, groupPart)
         fleetTokens = minOf(depthTokens + unseen + lateTokens, fleetTokens + tokensPerSecond * seconds)
         groupTokens = minOf(depthTokens * groupPart + unseen + pausedTokens, groupTokens + tokensPerSecond * groupPart * seconds)
-        rationPerSecond = if (rationsFill) tokensPerSecond * groupPart * ownPart else 0.0
+        val rationPerSecond = tokensPerSecond * groupPart * ownPart * rationFactor
         rationTokens = minOf(tokensPerSecond * groupPart * ownPart * MAX_RATION_SECONDS, rationTokens + rationPerSecond * seconds)
         val kept = exp(-seconds / AVERAGE_SECONDS)
         peerTokensPerSecond *= exp(-seconds / PEER_AVERAGE_SECONDS)
@@ -103,13 +107,23 @@
         return USED_PART * used + (1 - USED_PART) / daemons
     }
 
-    /** Stops rations from growing while nothing is left, so that they are not all used at the next moment. */
-    fun setRationFill(usedUp: Boolean) {
-        rationsFill = !usedUp
+    /**
+     * Adapts the rations to the [available] tokens, so that the daemons together use the rate and not all of what is
+     * left at once.
+     */
+    fun observe(now: Long, available: Double, groupPart: Double) {
+        if (available <= 0) scarceUntilNanos = now + SCARCE_NANOS
+        rationFactor = (MIN_RATION_FACTOR + available / (depthTokens * groupPart * FULL_RATION_PART))
+            .coerceIn(0.0, MAX_RATION_FACTOR)
     }
 
     private val lateTokens get() = pausedTokens + separatedTokens
 
+    /** Gives the group its part of what is left. */
+    fun separate(groupPart: Double) {
+        groupTokens = minOf(groupTokens, maxOf(fleetTokens * groupPart, minOf(fleetTokens, 0.0)), depthTokens * groupPart)
+    }
+
     /** Caps the level at the part of the depth that belongs to the group. */
     fun capGroup(groupPart: Double) {
         groupTokens = minOf(groupTokens, depthTokens * groupPart)
@@ -121,13 +135,12 @@
         groupTokens = fleetTokens
     }
 
+    fun takeRation(): Double = rationTokens.also { rationTokens = 0.0 }
+
     fun takeOwn(tokens: Long) {
         fleetTokens -= tokens
         groupTokens -= tokens
         unreportedTokens += tokens
-        // A daemon repays its last request, but not all that it charged while enough was left.
-        val maxDebt = maxOf(tokens.toDouble(), rationPerSecond * MAX_DEBT_SECONDS)
-        rationTokens = maxOf(rationTokens - tokens, minOf(rationTokens, -maxDebt))
         ownTokensPerSecond = maxOf(0.0, ownTokensPerSecond + tokens / AVERAGE_SECONDS)
     }
 
@@ -169,11 +182,15 @@
         const val RATIONED_DEPTH_PART = 0.25
 
         // Rations follow the use of the last seconds; the rest is for daemons that had no callers.
+        const val SCARCE_NANOS = 4_000_000_000L
+        const val SCARCE_PART = 0.6
+        const val MIN_RATION_FACTOR = 0.5
+        const val FULL_RATION_PART = 0.3
+        const val MAX_RATION_FACTOR = 1.1
         const val PAUSE_SECONDS = 0.6
         const val PAUSED_CAP_NANOS = 500_000_000L
         const val USED_PART = 0.8
         const val MAX_RATION_SECONDS = 0.25
-        const val MAX_DEBT_SECONDS = 1.0
         const val AVERAGE_SECONDS = 2.0
 
         // Follows a surge within two reports.
@@ -181,6 +198,6 @@
 
         // Charges of another data centre are up to this many times as old as usual.
         const val MAX_LAG_FACTOR = 2.5
-        const val MAX_PEER_RATE = 1.25
+        const val MAX_PEER_RATE = 1.0
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
@@ -89,14 +89,17 @@
         if (part < groupPart) {
             for (bucket in buckets.values) {
                 refill(now, bucket)
-                bucket.capGroup(part)
+                bucket.separate(part)
             }
         }
         if (part <= groupPart || now - startedNanos < STARTUP_NANOS) {
             largerPartSinceNanos = null
         } else {
             val since = largerPartSinceNanos ?: now.also { largerPartSinceNanos = it }
-            if (now - since < JOIN_NANOS) return
+            if (now - since < JOIN_NANOS) {
+                for (bucket in buckets.values) bucket.observe(now, level(bucket) - unseenTokens(now, bucket), groupPart)
+                return
+            }
             largerPartSinceNanos = null
         }
         val joins = groupPart < 1 && part >= 1
@@ -104,6 +107,7 @@
         groupSize = size
         groupPart = part
         if (joins) buckets.values.forEach { it.joinFleet() }
+        for (bucket in buckets.values) bucket.observe(now, level(bucket) - unseenTokens(now, bucket), groupPart)
     }
 
     /**
@@ -116,7 +120,6 @@
         observeActivity(now)
         refill(now, bucket)
         val refusal = refusal(now, bucket, tokens)
-        bucket.setRationFill(refusal == ChargeRefusal.USED_UP)
         if (refusal == null) {
             deduct(account, bucket, tokens.toLong())
             return 0
@@ -139,7 +142,7 @@
             "why" to lastRefusal?.name?.lowercase(),
             "level" to level(bucket).toLong(),
             "unseen" to unseenTokens(now, bucket).toLong(),
-            "rationedBelow" to (bucket.rationedBelowTokens * groupPart).toLong(),
+            "rationedBelow" to (bucket.rationedBelow(now) * groupPart).toLong(),
             "ration" to bucket.rationTokens.toLong(),
             "unreported" to bucket.unreportedTokens.toLong(),
             "othersPerSecond" to bucket.peerTokensPerSecond.toLong(),
@@ -229,7 +232,7 @@
         return when {
             available <= 0 -> ChargeRefusal.USED_UP
             groupSize == 1 -> null
-            available < bucket.rationedBelowTokens * groupPart && !mayRation(bucket, tokens) -> ChargeRefusal.RATIONED
+            available < bucket.rationedBelow(now) * groupPart && !mayRation(bucket, tokens) -> ChargeRefusal.RATIONED
             // The charges in this period are part of the level already.
             bucket.unreportedTokens > (available + bucket.unreportedTokens) * UNREPORTED_PART ->
                 ChargeRefusal.UNREPORTED
@@ -237,14 +240,15 @@
         }
     }
 
-    // Most daemons have less than one request left to ration. They admit some requests whole, not one each.
-    private fun mayRation(bucket: AccountBucket, tokens: Int) = bucket.rationTokens > tokens * random.nextDouble()
+    // Most daemons ration less than one request at a time. Each admits a request with the probability that gives its
+    // part on average: requests that are charged in advance would be followed by the same pause everywhere.
+    private fun mayRation(bucket: AccountBucket, tokens: Int) = bucket.takeRation() > tokens * random.nextDouble()
 
     private fun waitMillis(now: Long, bucket: AccountBucket, refusal: ChargeRefusal, tokens: Int): Long {
         val perSecond = maxOf(1.0, bucket.tokensPerSecond * groupPart)
         val millis = when (refusal) {
             ChargeRefusal.USED_UP -> (tokens + unseenTokens(now, bucket) - level(bucket)) / perSecond
-            ChargeRefusal.RATIONED -> (tokens - bucket.rationTokens) / (perSecond * bucket.ownPart(groupSize))
+            ChargeRefusal.RATIONED -> tokens / (perSecond * bucket.ownPart(groupSize))
             ChargeRefusal.UNREPORTED -> lagNanos / 1e9
         } * 1_000
         return millis.toLong().coerceIn(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS)
@@ -307,7 +311,7 @@
         const val RESUME_NANOS = 250_000_000L
 
         // Two digests between data centres; then each side has its part of the limit.
-        const val MAX_LATE_NANOS = 1_100_000_000L
+        const val MAX_LATE_NANOS = 1_400_000_000L
 
         // Two digests of the relay.
         const val MAX_SILENCE_NANOS = 600_000_000L
