--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
@@ -5,8 +5,8 @@
 /**
  * Holds what one daemon knows about the use of one account.
  *
- * [fleetTokens] is refilled at the whole rate and loses the charges of all daemons. [groupTokens] does the same with
- * the part of the limit that belongs to the daemons that hear each other.
+ * The bucket of the fleet is refilled at the whole rate and loses the charges of all daemons. The bucket of the group
+ * does the same with the part of the limit that belongs to the daemons that hear each other.
  */
 internal class AccountBucket(private val bound: LimitBound, now: Long) {
     private var updatedNanos = now
@@ -20,10 +20,17 @@
     /** Tokens that remain of [depthTokens] when a caller has used its rate and its whole burst. */
     private var reserveTokens = 0.0
 
-    var fleetTokens = 0.0
-        private set
-    var groupTokens = 0.0
-        private set
+    private val fleet = DelayedBucket(now)
+    private val group = DelayedBucket(now)
+    private var groupRate = 0.0
+
+    /** Level of the account as far as charges have arrived, over the whole fleet. */
+    private fun fleetTokens(now: Long) = fleet.level(now, tokensPerSecond)
+
+    /** Level of the part of the account that belongs to the group of daemons that hear each other. */
+    private fun groupTokens(now: Long) = group.level(now, groupRate)
+
+    fun level(now: Long) = minOf(fleetTokens(now), groupTokens(now))
 
     /** Tokens that this daemon may charge at its next request when little is left. */
     var rationTokens = 0.0
@@ -48,7 +55,7 @@
     fun rationedBelow(now: Long): Double = if (now < scarceUntilNanos) depthTokens * SCARCE_PART else lowTokens
 
     /** @param isNewAccount whether nobody has used the account before; otherwise its use before this call is unknown. */
-    fun configure(rate: Double, burstTokens: Double, isNewAccount: Boolean) {
+    fun configure(now: Long, rate: Double, burstTokens: Double, isNewAccount: Boolean) {
         val windowSeconds = bound.windowMillis / MILLIS_PER_SECOND
         val windowTokens = (rate * windowSeconds + burstTokens) * (1 + bound.overage) + bound.slackTokens
         val before = depthTokens
@@ -57,30 +64,27 @@
         depthTokens = burstTokens + reserveTokens
         if (before == 0.0) {
             // After the loss of all daemons, the account has had at least the time of a start to refill.
-            fleetTokens = if (isNewAccount) depthTokens else reserveTokens * START_PART
-            groupTokens = fleetTokens
+            val tokens = if (isNewAccount) depthTokens else reserveTokens * START_PART
+            groupRate = tokensPerSecond
+            adopt(now, tokens)
         }
         // A debt of the higher rate would block the lower one for longer.
         if (before > depthTokens) {
-            fleetTokens = lowered(fleetTokens, before)
-            groupTokens = lowered(groupTokens, before)
+            fleet.reduceDebt(now, tokensPerSecond, depthTokens / before)
+            group.reduceDebt(now, groupRate, depthTokens / before)
         }
     }
 
-    private fun lowered(tokens: Double, before: Double) =
-        if (tokens < 0) tokens * depthTokens / before else minOf(tokens, depthTokens)
-
-    /** Adds the tokens since the last call; [lagSeconds] is the usual age of the newest known charges of others. */
-    fun refill(now: Long, groupPart: Double, ownPart: Double, lagSeconds: Double) {
+    /** Adds the tokens since the last call. */
+    fun refill(now: Long, groupPart: Double, ownPart: Double) {
         val elapsed = now - updatedNanos
         if (elapsed <= 0) return
         updatedNanos = now
         val seconds = elapsed / NANOS_PER_SECOND
-        // A level that leaves out the charges of the last moment is as much above the depth when the account has all.
-        val unseen = minOf(tokensPerSecond, slowPeerTokensPerSecond) * lagSeconds * MAX_LAG_FACTOR
         raiseCap(now, seconds, groupPart)
-        fleetTokens = minOf(depthTokens + unseen + lateTokens, fleetTokens + tokensPerSecond * seconds)
-        groupTokens = minOf(depthTokens * groupPart + unseen + pausedTokens, groupTokens + tokensPerSecond * groupPart * seconds)
+        groupRate = tokensPerSecond * groupPart
+        fleet.settle(now, tokensPerSecond, depthTokens + pausedTokens + separatedTokens)
+        group.settle(now, groupRate, depthTokens * groupPart + pausedTokens)
         val rationPerSecond = tokensPerSecond * groupPart * ownPart * rationFactor
         rationTokens = minOf(tokensPerSecond * groupPart * ownPart * MAX_RATION_SECONDS, rationTokens + rationPerSecond * seconds)
         val kept = exp(-seconds / AVERAGE_SECONDS)
@@ -117,29 +121,26 @@
             .coerceIn(0.0, MAX_RATION_FACTOR)
     }
 
-    private val lateTokens get() = pausedTokens + separatedTokens
-
     /** Gives the group its part of what is left. */
-    fun separate(groupPart: Double) {
-        groupTokens = minOf(groupTokens, maxOf(fleetTokens * groupPart, minOf(fleetTokens, 0.0)), depthTokens * groupPart)
+    fun separate(now: Long, groupPart: Double) {
+        val fleetTokens = fleetTokens(now)
+        val part = if (fleetTokens > 0) fleetTokens * groupPart else fleetTokens
+        group.reset(now, minOf(groupTokens(now), part, depthTokens * groupPart))
     }
 
-    /** Caps the level at the part of the depth that belongs to the group. */
-    fun capGroup(groupPart: Double) {
-        groupTokens = minOf(groupTokens, depthTokens * groupPart)
-    }
 
     /** Ends the separation of the group: all charges of the others have been subtracted from [fleetTokens]. */
-    fun joinFleet() {
+    fun joinFleet(now: Long) {
         separatedTokens = 0.0
-        groupTokens = fleetTokens
+        groupRate = tokensPerSecond
+        group.reset(now, minOf(depthTokens, fleetTokens(now)))
     }
 
     fun takeRation(): Double = rationTokens.also { rationTokens = 0.0 }
 
-    fun takeOwn(tokens: Long) {
-        fleetTokens -= tokens
-        groupTokens -= tokens
+    fun takeOwn(now: Long, tokens: Long) {
+        fleet.take(now, tokens, ageNanos = 0)
+        group.take(now, tokens, ageNanos = 0)
         unreportedTokens += tokens
         ownTokensPerSecond = maxOf(0.0, ownTokensPerSecond + tokens / AVERAGE_SECONDS)
     }
@@ -150,10 +151,10 @@
      * @param gapSeconds time in which no charges had arrived before.
      * @param inGroup whether the charge was made out of the part of the group.
      */
-    fun takePeer(tokens: Long, gapSeconds: Double, inGroup: Boolean) {
-        fleetTokens -= tokens
+    fun takePeer(now: Long, tokens: Long, gapSeconds: Double, inGroup: Boolean) {
+        fleet.take(now, tokens, PEER_AGE_NANOS)
         if (!inGroup) return
-        groupTokens -= tokens
+        group.take(now, tokens, PEER_AGE_NANOS)
         val rate = peerTokensPerSecond + tokens / maxOf(PEER_AVERAGE_SECONDS, gapSeconds)
         peerTokensPerSecond = rate.coerceIn(0.0, tokensPerSecond * MAX_PEER_RATE)
         val slowRate = slowPeerTokensPerSecond + tokens / maxOf(AVERAGE_SECONDS, gapSeconds)
@@ -161,9 +162,9 @@
     }
 
     /** Replaces the level with the one that a longer running daemon knows. */
-    fun adopt(tokens: Double) {
-        fleetTokens = minOf(depthTokens, tokens)
-        groupTokens = fleetTokens
+    fun adopt(now: Long, tokens: Double) {
+        fleet.reset(now, tokens)
+        group.reset(now, tokens)
     }
 
     private companion object {
@@ -196,8 +197,8 @@
         // Follows a surge within two reports.
         const val PEER_AVERAGE_SECONDS = 0.6
 
-        // Charges of another data centre are up to this many times as old as usual.
-        const val MAX_LAG_FACTOR = 2.5
+        // Mean age of a charge of another daemon when it arrives, at the least.
+        const val PEER_AGE_NANOS = 250_000_000L
         const val MAX_PEER_RATE = 1.0
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
@@ -65,8 +65,7 @@
         for (account in limited) {
             val bucket = buckets.getOrPut(account.name) { AccountBucket(bound, now) }
             refill(now, bucket)
-            bucket.configure(account.tokensPerSecond, account.burstTokens, isNewAccount)
-            bucket.capGroup(groupPart)
+            bucket.configure(now, account.tokensPerSecond, account.burstTokens, isNewAccount)
         }
     }
 
@@ -89,7 +88,7 @@
         if (part < groupPart) {
             for (bucket in buckets.values) {
                 refill(now, bucket)
-                bucket.separate(part)
+                bucket.separate(now, part)
             }
         }
         if (part <= groupPart || now - startedNanos < STARTUP_NANOS) {
@@ -97,7 +96,7 @@
         } else {
             val since = largerPartSinceNanos ?: now.also { largerPartSinceNanos = it }
             if (now - since < JOIN_NANOS) {
-                for (bucket in buckets.values) bucket.observe(now, level(bucket) - unseenTokens(now, bucket), groupPart)
+                for (bucket in buckets.values) bucket.observe(now, available(now, bucket), groupPart)
                 return
             }
             largerPartSinceNanos = null
@@ -106,8 +105,8 @@
         if (part != groupPart) buckets.values.forEach { refill(now, it) }
         groupSize = size
         groupPart = part
-        if (joins) buckets.values.forEach { it.joinFleet() }
-        for (bucket in buckets.values) bucket.observe(now, level(bucket) - unseenTokens(now, bucket), groupPart)
+        if (joins) buckets.values.forEach { it.joinFleet(now) }
+        for (bucket in buckets.values) bucket.observe(now, available(now, bucket), groupPart)
     }
 
     /**
@@ -121,7 +120,7 @@
         refill(now, bucket)
         val refusal = refusal(now, bucket, tokens)
         if (refusal == null) {
-            deduct(account, bucket, tokens.toLong())
+            deduct(now, account, bucket, tokens.toLong())
             return 0
         }
         refusals[refusal.ordinal]++
@@ -130,9 +129,10 @@
     }
 
     /** Refunds [tokens] of a request that has not run. */
-    public fun refund(account: String, tokens: Int) {
+    public fun refund(now: Long, account: String, tokens: Int) {
         val bucket = buckets[account] ?: return
-        deduct(account, bucket, -tokens.toLong())
+        refill(now, bucket)
+        deduct(now, account, bucket, -tokens.toLong())
     }
 
     /** Returns what a refusal of [account] depends on, for the log. */
@@ -140,7 +140,7 @@
         val bucket = buckets[account] ?: return emptyMap()
         return mapOf(
             "why" to lastRefusal?.name?.lowercase(),
-            "level" to level(bucket).toLong(),
+            "level" to bucket.level(now).toLong(),
             "unseen" to unseenTokens(now, bucket).toLong(),
             "rationedBelow" to (bucket.rationedBelow(now) * groupPart).toLong(),
             "ration" to bucket.rationTokens.toLong(),
@@ -186,7 +186,7 @@
             val bucket = buckets[account] ?: continue
             refill(now, bucket)
             val returning = dataCentre != null && now < dataCentre.returningUntilNanos
-            bucket.takePeer(newTokens, (dataCentre?.gapNanos ?: 0) / 1e9, inGroup = !returning)
+            bucket.takePeer(now, newTokens, (dataCentre?.gapNanos ?: 0) / 1e9, inGroup = !returning)
         }
     }
 
@@ -200,7 +200,7 @@
         if (!always && now - newPeerNanos > STARTUP_NANOS) return emptyMap()
         return buckets.mapValues { (_, bucket) ->
             refill(now, bucket)
-            level(bucket).toLong()
+            available(now, bucket).toLong()
         }
     }
 
@@ -210,7 +210,7 @@
         hasLevels = true
         for ((account, bucket) in buckets) {
             refill(now, bucket)
-            bucket.adopt((levels[account] ?: continue).toDouble() - (ownCharges[account] ?: 0))
+            bucket.adopt(now, (levels[account] ?: continue).toDouble() - (ownCharges[account] ?: 0))
         }
     }
 
@@ -228,7 +228,7 @@
     }
 
     private fun refusal(now: Long, bucket: AccountBucket, tokens: Int): ChargeRefusal? {
-        val available = level(bucket) - unseenTokens(now, bucket)
+        val available = available(now, bucket)
         return when {
             available <= 0 -> ChargeRefusal.USED_UP
             groupSize == 1 -> null
@@ -247,14 +247,15 @@
     private fun waitMillis(now: Long, bucket: AccountBucket, refusal: ChargeRefusal, tokens: Int): Long {
         val perSecond = maxOf(1.0, bucket.tokensPerSecond * groupPart)
         val millis = when (refusal) {
-            ChargeRefusal.USED_UP -> (tokens + unseenTokens(now, bucket) - level(bucket)) / perSecond
+            ChargeRefusal.USED_UP -> (tokens - available(now, bucket)) / perSecond
             ChargeRefusal.RATIONED -> tokens / (perSecond * bucket.ownPart(groupSize))
             ChargeRefusal.UNREPORTED -> lagNanos / 1e9
         } * 1_000
         return millis.toLong().coerceIn(MIN_WAIT_MILLIS, MAX_WAIT_MILLIS)
     }
 
-    private fun level(bucket: AccountBucket) = minOf(bucket.fleetTokens, bucket.groupTokens)
+    private fun available(now: Long, bucket: AccountBucket) =
+        minOf(bucket.level(now) - unseenTokens(now, bucket), bucket.depthTokens * groupPart)
 
     /** Estimates the charges of the others that have not been reported. */
     private fun unseenTokens(now: Long, bucket: AccountBucket): Double {
@@ -291,13 +292,13 @@
         activeNanos = maxOf(activeNanos, now)
     }
 
-    private fun deduct(account: String, bucket: AccountBucket, tokens: Long) {
-        bucket.takeOwn(tokens)
+    private fun deduct(now: Long, account: String, bucket: AccountBucket, tokens: Long) {
+        bucket.takeOwn(now, tokens)
         ownCharges.merge(account, tokens, Long::plus)
     }
 
     private fun refill(now: Long, bucket: AccountBucket) =
-        bucket.refill(now, groupPart, bucket.ownPart(groupSize), lagNanos / 1e9)
+        bucket.refill(now, groupPart, bucket.ownPart(groupSize))
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
--- a/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/ServingCore.kt
@@ -129,7 +129,7 @@
 
     /** Refunds the charge of [work], which has not run. */
     public fun refund(work: Work) {
-        work.account?.let { meter.refund(it, work.chargedTokens) }
+        work.account?.let { meter.refund(clock.nanos(), it, work.chargedTokens) }
     }
 
     /** Chooses one of the services of [route] at random by weight. */
--- a/core/src/test/kotlin/io/camphordrum/core/metering/AccountMeterTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/metering/AccountMeterTest.kt
@@ -48,7 +48,7 @@
             clock.advance(5_000)
             meter.renewAllowance(clock.nanos, 500)
             meter.charge(clock.nanos, "inspectors", 1_500)
-            meter.refund("inspectors", 1_500)
+            meter.refund(clock.nanos, "inspectors", 1_500)
             assertEquals(0, meter.charged.getValue("inspectors"))
         }
 
