--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
@@ -197,8 +197,8 @@
         // Follows a surge within two reports.
         const val PEER_AVERAGE_SECONDS = 0.6
 
-        // Mean age of a charge of another daemon when it arrives, at the least.
-        const val PEER_AGE_NANOS = 250_000_000L
+        // Mean age of a charge of another daemon when it arrives, through relays.
+        const val PEER_AGE_NANOS = 450_000_000L
         const val MAX_PEER_RATE = 1.0
     }
 }
