--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
@@ -70,8 +70,9 @@
         }
         // A debt of the higher rate would block the lower one for longer.
         if (before > depthTokens) {
-            fleet.reduceDebt(now, tokensPerSecond, depthTokens / before)
-            group.reduceDebt(now, groupRate, depthTokens / before)
+            val maxTokens = depthTokens + slowPeerTokensPerSecond * MAX_UNSEEN_SECONDS
+            fleet.lower(now, tokensPerSecond, depthTokens / before, maxTokens)
+            group.lower(now, groupRate, depthTokens / before, maxTokens)
         }
     }
 
@@ -86,7 +87,8 @@
         fleet.settle(now, tokensPerSecond, depthTokens + pausedTokens + separatedTokens)
         group.settle(now, groupRate, depthTokens * groupPart + pausedTokens)
         val rationPerSecond = tokensPerSecond * groupPart * ownPart * rationFactor
-        rationTokens = minOf(tokensPerSecond * groupPart * ownPart * MAX_RATION_SECONDS, rationTokens + rationPerSecond * seconds)
+        rationTokens =
+            minOf(tokensPerSecond * groupPart * ownPart * MAX_RATION_SECONDS, rationTokens + rationPerSecond * seconds)
         val kept = exp(-seconds / AVERAGE_SECONDS)
         peerTokensPerSecond *= exp(-seconds / PEER_AVERAGE_SECONDS)
         ownTokensPerSecond *= kept
@@ -121,14 +123,13 @@
             .coerceIn(0.0, MAX_RATION_FACTOR)
     }
 
-    /** Gives the group its part of what is left. */
-    fun separate(now: Long, groupPart: Double) {
-        val fleetTokens = fleetTokens(now)
+    /** Gives the group its part of what is left, if the others have used their part of the rate for [unheardSeconds]. */
+    fun separate(now: Long, groupPart: Double, unheardSeconds: Double) {
+        val fleetTokens = fleetTokens(now) - tokensPerSecond * (1 - groupPart) * unheardSeconds
         val part = if (fleetTokens > 0) fleetTokens * groupPart else fleetTokens
         group.reset(now, minOf(groupTokens(now), part, depthTokens * groupPart))
     }
 
-
     /** Ends the separation of the group: all charges of the others have been subtracted from [fleetTokens]. */
     fun joinFleet(now: Long) {
         separatedTokens = 0.0
@@ -199,6 +200,7 @@
 
         // Mean age of a charge of another daemon when it arrives, through relays.
         const val PEER_AGE_NANOS = 450_000_000L
+        const val MAX_UNSEEN_SECONDS = 0.75
         const val MAX_PEER_RATE = 1.0
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
@@ -86,9 +86,11 @@
         val size = minOf(reachable, knownCount - lateDaemons(now)).coerceIn(1, knownCount)
         val part = size.toDouble() / knownCount
         if (part < groupPart) {
+            // A daemon that has just started has not heard the others yet.
+            val unheardSeconds = if (now - startedNanos < STARTUP_NANOS) 0.0 else MAX_LATE_NANOS / 1e9
             for (bucket in buckets.values) {
                 refill(now, bucket)
-                bucket.separate(now, part)
+                bucket.separate(now, part, unheardSeconds)
             }
         }
         if (part <= groupPart || now - startedNanos < STARTUP_NANOS) {
@@ -146,7 +148,8 @@
             "ration" to bucket.rationTokens.toLong(),
             "unreported" to bucket.unreportedTokens.toLong(),
             "othersPerSecond" to bucket.peerTokensPerSecond.toLong(),
-            "reportAgeMillis" to dataCentres.values.minOfOrNull { it.reportedNanos }?.let { (now - it) / NANOS_PER_MILLI },
+            "reportAgeMillis" to
+                dataCentres.values.minOfOrNull { it.reportedNanos }?.let { (now - it) / NANOS_PER_MILLI },
             "share" to groupPart,
             "perSecond" to bucket.tokensPerSecond.toLong(),
             "depth" to bucket.depthTokens.toLong(),
@@ -312,7 +315,7 @@
         const val RESUME_NANOS = 250_000_000L
 
         // Two digests between data centres; then each side has its part of the limit.
-        const val MAX_LATE_NANOS = 1_400_000_000L
+        const val MAX_LATE_NANOS = 1_100_000_000L
 
         // Two digests of the relay.
         const val MAX_SILENCE_NANOS = 600_000_000L
--- a/core/src/main/kotlin/io/camphordrum/core/metering/DelayedBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/DelayedBucket.kt
@@ -18,7 +18,8 @@
         if (slots > SLOTS) {
             // After a pause no charge is pending that is older than the slots.
             val skipped = slots - SLOTS
-            settledTokens = minOf(capTokens, settledTokens + tokensPerSecond * skipped * SLOT_NANOS / 1e9 - pendingTokens)
+            settledTokens =
+                minOf(capTokens, settledTokens + tokensPerSecond * skipped * SLOT_NANOS / 1e9 - pendingTokens)
             pending.fill(0.0)
             pendingTokens = 0.0
             settledNanos += skipped * SLOT_NANOS
@@ -51,10 +52,10 @@
         settledNanos = now - DELAY_NANOS
     }
 
-    /** Multiplies a debt by [factor]. */
-    fun reduceDebt(now: Long, tokensPerSecond: Double, factor: Double) {
+    /** Multiplies a debt by [debtFactor], and reduces a higher level to [maxTokens]. */
+    fun lower(now: Long, tokensPerSecond: Double, debtFactor: Double, maxTokens: Double) {
         val level = level(now, tokensPerSecond)
-        if (level < 0) settledTokens += level * (factor - 1)
+        settledTokens += if (level < 0) level * (debtFactor - 1) else minOf(0.0, maxTokens - level)
     }
 
     private fun slot(nanos: Long) = Math.floorMod(nanos / SLOT_NANOS, SLOTS.toLong()).toInt()
--- a/core/src/test/kotlin/io/camphordrum/core/metering/MeteredFleet.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/metering/MeteredFleet.kt
@@ -64,8 +64,8 @@
     private var callerTokens = 0.0
 
     val millis get() = (clock.nanos - startNanos) / 1_000_000
-    var refused = ArrayList<Long>()
-    var refusals = ArrayList<String>()
+    val refused = ArrayList<Long>()
+    val refusals = ArrayList<String>()
 
     /** Tokens a second that callers send, and whether they keep to their limit. */
     var demandPerSecond = 0.0
@@ -174,10 +174,13 @@
         for ((index, report) in known) {
             if (index == to.index) continue
             val before = to.reports[index]
-            if (before == null || before.member.incarnation < report.member.incarnation || before.sequence < report.sequence) {
-                to.reports[index] = report
+            val isNewer = before == null ||
+                before.member.incarnation < report.member.incarnation ||
+                before.sequence < report.sequence
+            if (isNewer) to.reports[index] = report
+            if (clock.nanos - report.sentNanos < LIVE_NANOS) {
+                to.heard[index] = maxOf(to.heard[index] ?: 0, report.sentNanos)
             }
-            if (clock.nanos - report.sentNanos < LIVE_NANOS) to.heard[index] = maxOf(to.heard[index] ?: 0, report.sentNanos)
             to.meter.recordPeerCharges(clock.nanos, report.member, report.sequence, report.charged)
         }
         to.meter.adoptLevels(clock.nanos, levels)
