--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountBucket.kt
@@ -103,7 +103,8 @@
         } else if (now > pausedUntilNanos) {
             pausedTokens = 0.0
         }
-        separatedTokens += tokensPerSecond * (1 - groupPart) * seconds
+        val maxTokens = tokensPerSecond * (1 - groupPart) * bound.windowMillis / MILLIS_PER_SECOND
+        separatedTokens = minOf(maxTokens, separatedTokens + tokensPerSecond * (1 - groupPart) * seconds)
     }
 
     /** Returns the part of the group's tokens that this daemon may ration to itself, of [daemons] in the group. */
@@ -127,14 +128,18 @@
     fun separate(now: Long, groupPart: Double, unheardSeconds: Double) {
         val fleetTokens = fleetTokens(now) - tokensPerSecond * (1 - groupPart) * unheardSeconds
         val part = if (fleetTokens > 0) fleetTokens * groupPart else fleetTokens
-        group.reset(now, minOf(groupTokens(now), part, depthTokens * groupPart))
+        val tokens = minOf(groupTokens(now), part, depthTokens * groupPart)
+        groupRate = tokensPerSecond * groupPart
+        group.reset(now, tokens, groupRate)
     }
 
-    /** Ends the separation of the group: all charges of the others have been subtracted from [fleetTokens]. */
-    fun joinFleet(now: Long) {
+    /** Gives a larger group its part; all charges of the daemons that are back have been subtracted. */
+    fun join(now: Long, groupPart: Double) {
         separatedTokens = 0.0
-        groupRate = tokensPerSecond
-        group.reset(now, minOf(depthTokens, fleetTokens(now)))
+        groupRate = tokensPerSecond * groupPart
+        val fleetTokens = fleetTokens(now)
+        val part = if (fleetTokens > 0) fleetTokens * groupPart else fleetTokens
+        group.reset(now, if (groupPart < 1) part else fleetTokens, groupRate)
     }
 
     fun takeRation(): Double = rationTokens.also { rationTokens = 0.0 }
@@ -164,8 +169,8 @@
 
     /** Replaces the level with the one that a longer running daemon knows. */
     fun adopt(now: Long, tokens: Double) {
-        fleet.reset(now, tokens)
-        group.reset(now, tokens)
+        fleet.reset(now, tokens, tokensPerSecond)
+        group.reset(now, tokens, groupRate)
     }
 
     private companion object {
@@ -181,7 +186,7 @@
         const val START_PART = 0.5
 
         // Without overage and slack, nothing but the burst bears unknown charges.
-        const val RATIONED_DEPTH_PART = 0.25
+        const val RATIONED_DEPTH_PART = 0.1
 
         // Rations follow the use of the last seconds; the rest is for daemons that had no callers.
         const val SCARCE_NANOS = 4_000_000_000L
--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
@@ -103,11 +103,11 @@
             }
             largerPartSinceNanos = null
         }
-        val joins = groupPart < 1 && part >= 1
+        val joins = part > groupPart
         if (part != groupPart) buckets.values.forEach { refill(now, it) }
         groupSize = size
         groupPart = part
-        if (joins) buckets.values.forEach { it.joinFleet(now) }
+        if (joins) buckets.values.forEach { it.join(now, part) }
         for (bucket in buckets.values) bucket.observe(now, available(now, bucket), groupPart)
     }
 
@@ -203,7 +203,7 @@
         if (!always && now - newPeerNanos > STARTUP_NANOS) return emptyMap()
         return buckets.mapValues { (_, bucket) ->
             refill(now, bucket)
-            available(now, bucket).toLong()
+            bucket.level(now).toLong()
         }
     }
 
--- a/core/src/main/kotlin/io/camphordrum/core/metering/DelayedBucket.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/DelayedBucket.kt
@@ -45,10 +45,10 @@
         settledTokens + tokensPerSecond * (now - settledNanos) / 1e9 - pendingTokens
 
     /** Replaces the level; all charges until now are part of it. */
-    fun reset(now: Long, tokens: Double) {
+    fun reset(now: Long, tokens: Double, tokensPerSecond: Double) {
         pending.fill(0.0)
         pendingTokens = 0.0
-        settledTokens = tokens
+        settledTokens = tokens - tokensPerSecond * DELAY_NANOS / 1e9
         settledNanos = now - DELAY_NANOS
     }
 
