--- a/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/metering/AccountMeter.kt
@@ -108,6 +108,8 @@
         groupSize = size
         groupPart = part
         if (joins) buckets.values.forEach { it.join(now, part) }
+        // Right after a pause, the level is low only because reports are missing.
+        if (now - resumedNanos < 4 * RESUME_NANOS) return
         for (bucket in buckets.values) bucket.observe(now, available(now, bucket), groupPart)
     }
 
