Rank the endpoints of a request once, and share what two parts repeated

Callers: no change of behaviour. Cause: a request that cannot be in time asked EndpointSelector a second time, at the rank of late requests, and the filter and the rendezvous order of all endpoints were computed again; AccountShares and its caller both checked whether an update is due; the least urgent priority stood twice. Change: EndpointSelector.candidates holds the ranked endpoints of one request, from which the policy chooses at each rank; AccountShares asks for limits only when it uses them; one MAX_PRIORITY.

--- a/core/src/main/kotlin/io/camphordrum/core/admission/AccountShares.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/admission/AccountShares.kt
@@ -22,19 +22,19 @@
     /** Returns the part of the requests of [account] that lies beyond its fair share, from 0 to 1. */
     fun excessPart(account: String?): Double = excess[account] ?: 0.0
 
-    /** Returns whether the next [update] counts; updates in quick succession would measure noise. */
-    fun isDue(now: Long): Boolean = updatedNanos?.let { (now - it) / 1e9 >= MIN_SECONDS } ?: true
-
     /**
      * Records the tokens that all daemons have charged.
      *
+     * Updates in quick succession would measure noise and are ignored.
+     *
      * @param charged tokens by account since any fixed time.
-     * @param limits limits of the accounts in tokens a second.
+     * @param currentLimits returns the limits of the accounts in tokens a second.
      */
-    fun update(now: Long, charged: Map<String, Long>, limits: Map<String, Double>) {
-        if (!isDue(now)) return
+    fun update(now: Long, charged: Map<String, Long>, currentLimits: () -> Map<String, Double>) {
         val seconds = updatedNanos?.let { (now - it) / 1e9 }
+        if (seconds != null && seconds < MIN_SECONDS) return
         updatedNanos = now
+        val limits = currentLimits()
         usages.keys.retainAll(limits.keys)
         excess.clear()
         for (account in limits.keys) {
--- a/core/src/main/kotlin/io/camphordrum/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/admission/AdmissionPolicy.kt
@@ -94,7 +94,9 @@
         /** At twice the room an eighth of a kind is a quarter of the share of all that is served. */
         const val FLOOR_PARTS = 8
 
-        private const val MAX_PRIORITY = 9
+        /** Least urgent priority; a larger one counts as this. */
+        const val MAX_PRIORITY = 9
+
         private const val DEADLINE_PART = 0.8
         private const val MIN_BOUND_MILLIS = 150.0
 
--- a/core/src/main/kotlin/io/camphordrum/core/admission/ReturnTimes.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/admission/ReturnTimes.kt
@@ -26,7 +26,7 @@
             return (earliestMillis + lot * max(0.0, latestMillis - earliestMillis)).toLong()
         }
         if (nextNanos.size >= MAX_LINES && line !in nextNanos) nextNanos.clear()
-        nextNanos[line] = slotNanos + INTERVAL_NANOS * (1 + request.priority.coerceIn(0, MAX_PRIORITY))
+        nextNanos[line] = slotNanos + INTERVAL_NANOS * (1 + request.priority.coerceIn(0, AdmissionPolicy.MAX_PRIORITY))
         return slotMillis.toLong()
     }
 
@@ -39,7 +39,6 @@
         // Leaves a span over which callers return if there is no room for as long as they wait.
         const val EARLIEST_PART = 0.75
         const val INTERVAL_NANOS = 250_000_000L
-        const val MAX_PRIORITY = 9
         const val MAX_LINES = 1_024
     }
 }
--- a/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/EndpointSelector.kt
@@ -20,54 +20,57 @@
     /** Pairs an endpoint with its expected time and cost, and whether the adapter must be loaded first. */
     class Choice(val state: EndpointState, val millis: Double, val cost: Double, val load: Boolean)
 
-    /** Holds what is the same for all endpoints in one choice. */
-    private class Query(
-        val work: Work,
-        val service: ServedService,
-        val version: Int?,
-        val noLoad: Set<EndpointId>,
-        val rank: Int,
-    )
-
     private val registry = context.registry
     private val dataCentre = context.options.dataCentre
 
-    /**
-     * Chooses an endpoint for [work] at [rank]; if none begins the answer within [boundMillis], the one that begins
-     * first.
-     */
-    fun choose(
+    /** Returns the endpoints for [work]; excludes those in [excluded], and loads no adapter at those in [noLoad]. */
+    fun candidates(
         now: Long,
         work: Work,
         service: ServedService,
         excluded: Set<EndpointId>,
         noLoad: Set<EndpointId>,
-        rank: Int,
-        boundMillis: Double,
-    ): Choice? {
-        val query = Query(work, service, registry.announcedVersion(work.base, work.adapter), noLoad, rank)
+    ): Candidates {
         val usable = registry.usable(work.service, excluded).filterNot { it.isPaused(now) || it.isAtLimit(now) }
         val reachable = usable.filterNot { it.isBackingOff(now) }.ifEmpty { usable }
         val ranked = if (work.adapter == null) reachable else Rendezvous.order(work.adapter, reachable) { it.id.name }
-        val choices =
-            ranked.mapIndexedNotNull { index, state -> choice(now, query, state, index) }
-        return choices.filter { it.millis <= boundMillis }.minByOrNull { it.cost } ?: choices.minByOrNull { it.millis }
+        return Candidates(now, work, service, noLoad, ranked)
     }
 
-    private fun choice(now: Long, query: Query, state: EndpointState, adapterRank: Int): Choice? {
-        if (!state.hasColdRoom(now, registry.coldSendsPerSecond(now, state, query.service))) return null
-        if (!registry.hasConnectionRoom(now, state, query.service)) return null
-        val work = query.work
-        val penalty = penalty(now, work, state)
-        val wait = loads.expectedMillis(now, work, state, query.rank)
-        val engine = query.service.engine ?: return Choice(state, wait, wait + penalty, load = false)
-        val base = work.base ?: engine.baseModels.firstOrNull()?.name ?: return null
-        if (base !in state.held) return null
-        if (state.holds(base, work.adapter, query.version)) return Choice(state, wait, wait + penalty, load = false)
-        if (state.id in query.noLoad || !state.ownerMayOrder || !registry.ownerReachable(now, state)) return null
-        val loadCount = 1 + state.ownerQueuedLoads * QUEUED_LOAD_PART
-        val cost = wait + penalty + LOAD_COST_MILLIS * loadCount + adapterRank * RANK_COST_MILLIS
-        return Choice(state, wait + loadMillis() * loadCount, cost, load = true)
+    /** Holds the endpoints for one request, the preferred ones of its adapter first. */
+    inner class Candidates internal constructor(
+        private val now: Long,
+        private val work: Work,
+        private val service: ServedService,
+        private val noLoad: Set<EndpointId>,
+        private val ranked: List<EndpointState>,
+    ) {
+        private val version = registry.announcedVersion(work.base, work.adapter)
+
+        /**
+         * Chooses an endpoint for the request at [rank]; if none begins the answer within [boundMillis], the one that
+         * begins first.
+         */
+        fun choose(rank: Int, boundMillis: Double): Choice? {
+            val choices = ranked.mapIndexedNotNull { index, state -> choice(state, index, rank) }
+            return choices.filter { it.millis <= boundMillis }.minByOrNull { it.cost }
+                ?: choices.minByOrNull { it.millis }
+        }
+
+        private fun choice(state: EndpointState, adapterRank: Int, rank: Int): Choice? {
+            if (!state.hasColdRoom(now, registry.coldSendsPerSecond(now, state, service))) return null
+            if (!registry.hasConnectionRoom(now, state, service)) return null
+            val penalty = penalty(now, work, state)
+            val wait = loads.expectedMillis(now, work, state, rank)
+            val engine = service.engine ?: return Choice(state, wait, wait + penalty, load = false)
+            val base = work.base ?: engine.baseModels.firstOrNull()?.name ?: return null
+            if (base !in state.held) return null
+            if (state.holds(base, work.adapter, version)) return Choice(state, wait, wait + penalty, load = false)
+            if (state.id in noLoad || !state.ownerMayOrder || !registry.ownerReachable(now, state)) return null
+            val loadCount = 1 + state.ownerQueuedLoads * QUEUED_LOAD_PART
+            val cost = wait + penalty + LOAD_COST_MILLIS * loadCount + adapterRank * RANK_COST_MILLIS
+            return Choice(state, wait + loadMillis() * loadCount, cost, load = true)
+        }
     }
 
     private fun penalty(now: Long, work: Work, state: EndpointState): Double {
--- a/core/src/main/kotlin/io/camphordrum/core/serving/RequestPlacer.kt
+++ b/core/src/main/kotlin/io/camphordrum/core/serving/RequestPlacer.kt
@@ -27,9 +27,10 @@
 
     /** Records the tokens that all daemons have charged to accounts. */
     fun recordCharges(now: Long, charged: Map<String, Long>) {
-        if (!shares.isDue(now)) return
-        val limits = context.config?.accounts.orEmpty().filter { it.tokensPerSecond > 0 }
-        shares.update(now, charged, limits.associate { it.name to it.tokensPerSecond })
+        shares.update(now, charged) {
+            val limited = context.config?.accounts.orEmpty().filter { it.tokensPerSecond > 0 }
+            limited.associate { it.name to it.tokensPerSecond }
+        }
     }
 
     /** Decides about [work]; see [ServingCore.place]. */
@@ -37,10 +38,11 @@
         if (prompts.block(work) != null) return refuse(RefuseReason.BLOCKED_PROMPT, BLOCKED_PROMPT_RETRY_MILLIS)
         val service = context.config?.services?.get(work.service)
             ?: return refuse(RefuseReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
+        val candidates = selector.candidates(now, work, service, tried, noLoad)
         val decision = admission.decide(
             now,
             request(now, work),
-            { rank, boundMillis -> selector.choose(now, work, service, tried, noLoad, rank, boundMillis) },
+            candidates::choose,
             { it.millis },
             { choice, rank -> choice.state.turnTokensAhead(rank) },
         )
--- a/core/src/test/kotlin/io/camphordrum/core/admission/ReturnTest.kt
+++ b/core/src/test/kotlin/io/camphordrum/core/admission/ReturnTest.kt
@@ -71,7 +71,7 @@
         val charged = HashMap<String, Long>()
         fun run(seconds: Int, from: Int, hot: Long) = repeat(seconds * 4) { step ->
             for (account in limits.keys) charged.merge(account, if (account == "a1") hot else 100L, Long::plus)
-            shares.update((from * 4L + step) * 250_000_000, charged, limits)
+            shares.update((from * 4L + step) * 250_000_000, charged) { limits }
         }
         run(20, 0, hot = 100)
         assertTrue(limits.keys.all { shares.excessPart(it) == 0.0 })
