--- a/review/stand-2/Configs.java
+++ b/review/stand-2/Configs.java
@@ -5,7 +5,9 @@
     static String orders() {
         return "{\"version\":7,\"routes\":[{\"name\":\"r-orders\",\"host\":\"site.example\",\"pathPrefix\":\"/orders/\","
             + "\"kind\":\"non_idempotent\",\"timeoutMs\":1500,\"targetLatencyMs\":300,\"priority\":2,\"service\":\"orders\","
-            + "\"maxAttempts\":1,\"allowAnonymous\":false}],\"services\":[{\"name\":\"orders\",\"healthCheckPath\":\"/health\","
+            + "\"maxAttempts\":1,\"allowAnonymous\":false},{\"name\":\"r-records\",\"host\":\"site.example\",\"pathPrefix\":\"/records/\","
+            + "\"kind\":\"idempotent\",\"timeoutMs\":1500,\"targetLatencyMs\":300,\"priority\":2,\"service\":\"orders\","
+            + "\"maxAttempts\":2,\"allowAnonymous\":false}],\"services\":[{\"name\":\"orders\",\"healthCheckPath\":\"/health\","
             + "\"connectionLimit\":100,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":0.0,\"coldPerS\":0.0}],"
             + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
             + "\"tenants\":[{\"name\":\"tenant-1\",\"apiKeys\":[\"key-1\"],\"priority\":1,\"unit\":\"tokens\",\"plainTokens\":200,"
