Review: drop three cases that the earlier review already shows

Change: they are removed, the planned stop becomes case 7; the sources move to review/stand-2/src, since review/build.sh compiles every file one folder up; case 6 also shows that a request runs with another one's bytes.

--- a/review/stand-2/Daemon.java
+++ b/review/stand-2/src/Daemon.java
@@ -75,19 +75,7 @@
         }
     }
 
-    /** Asks for readiness as the platform does, once a second. */
-    void pollReadiness(Record record) {
-        try {
-            while (process.isAlive()) {
-                int status = ready();
-                if (status != 200) record.line("readiness: %s", status == 0 ? "no answer within a second" : status);
-                Thread.sleep(1_000);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
+    /** Sends the process a signal, such as TERM. */
     void signal(String signal) throws Exception {
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
--- a/review/stand-2/Replica.java
+++ b/review/stand-2/src/Replica.java
@@ -22,11 +22,19 @@
     private final Store store;
     private long sequence;
 
+    /** Receives each request that begins to run. */
+    interface Run {
+        void begin(Http.Message request);
+    }
+
+    private final Run run;
+
     /** Number of runs by attempt id, over all replicas that share this map. */
     final Map<String, AtomicInteger> runs;
 
     Replica(String host, String id, String service, String zone, long workMillis, Store store, Record record,
-            Map<String, AtomicInteger> runs) throws IOException {
+            Map<String, AtomicInteger> runs, Run run) throws IOException {
+        this.run = run;
         this.id = id;
         this.service = service;
         this.zone = zone;
@@ -102,6 +110,7 @@
                 }
                 int times = runs.computeIfAbsent(attempt, k -> new AtomicInteger()).incrementAndGet();
                 record.line("%s: runs %s (%d bytes), run %d", id, attempt, request.body.length, times);
+                run.begin(request);
                 Thread.sleep(workMillis);
                 Http.write(out, "HTTP/1.1 200 OK", "X-Attempt-Id: " + attempt + "\r\nX-Response-Signature: " + id + "."
                     + attempt + "\r\nContent-Type: text/plain\r\n", ("done " + attempt).getBytes(StandardCharsets.UTF_8));
--- a/review/stand-2/SlowBodies.java
+++ b/review/stand-2/src/SlowBodies.java
@@ -25,7 +25,10 @@
         Store store = new Store("127.0.0.1");
         store.put("config", "main", Configs.orders());
         Map<String, AtomicInteger> runs = Replica.newRuns();
-        for (int i = 1; i <= 3; i++) new Replica("127.0.0.1", "i-" + i, "orders", "zone-a", Integer.getInteger("work", 86), store, record, runs);
+        int work = Integer.getInteger("work", 86);
+        for (int i = 1; i <= 3; i++) {
+            new Replica("127.0.0.1", "i-" + i, "orders", "zone-a", work, store, record, runs, request -> { });
+        }
         Daemon daemon = new Daemon(root, temporary, "frontend-1", "zone-a", "127.0.0.1", store.address());
         Map<String, String> ends = new ConcurrentHashMap<>();
         try {
--- a/review/stand-2/Store.java
+++ b/review/stand-2/src/Store.java
@@ -53,16 +53,6 @@
     // The newest revision whose history is gone.
     private long forgotten;
 
-    /** Called before each answer; may delay it. Returns false to drop the answer and let the connection fall silent. */
-    interface Gate {
-        boolean pass(String method, String target);
-    }
-
-    /** Called with the kind and the name after which it begins, whenever a page of a list is read. */
-    volatile java.util.function.BiConsumer<String, String> lists = (kind, after) -> { };
-
-    volatile Gate gate = (method, target) -> true;
-
     Store(String host) throws IOException {
         server = new ServerSocket();
         server.bind(new InetSocketAddress(InetAddress.getByName(host), 0), 256);
@@ -99,12 +89,6 @@
         record(kind, entry, true);
     }
 
-    synchronized List<String> specifications(String kind) {
-        List<String> all = new ArrayList<>();
-        for (Entry entry : kinds.computeIfAbsent(kind, k -> new TreeMap<>()).values()) all.add(entry.specification);
-        return all;
-    }
-
     private void record(String kind, Entry entry, boolean tombstone) {
         Event event = new Event();
         event.millis = System.currentTimeMillis();
@@ -141,11 +125,6 @@
                 Thread.sleep(ANSWER_MILLIS / 2);
                 String[] answer = handle(request);
                 Thread.sleep(ANSWER_MILLIS / 2);
-                if (!gate.pass(request.method(), request.target())) {
-                    // A connection on which a response is lost returns nothing further.
-                    in.readAllBytes();
-                    return;
-                }
                 Http.write(out, "HTTP/1.1 " + answer[0], "content-type: application/json\r\n",
                     answer[1].getBytes(StandardCharsets.UTF_8));
             }
@@ -193,7 +172,6 @@
             }
             items.add(entry.json());
         }
-        lists.accept(kind, after == null ? "" : after);
         return new String[] {"200 OK", "{\"items\":[" + String.join(",", items) + "],\"hasMore\":" + more + ",\"at\":" + revision + "}"};
     }
 
