--- a/review/stand-2/src/Replica.java
+++ b/review/stand-2/src/Replica.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -27,6 +28,13 @@
         void begin(Http.Message request);
     }
 
+    /** Tells how long the answer to a request is. */
+    interface AnswerBytes {
+        int of(Http.Message request);
+    }
+
+    volatile AnswerBytes answerBytes = request -> 20;
+
     private final Run run;
 
     /** Number of runs by attempt id, over all replicas that share this map. */
@@ -113,7 +121,8 @@
                 run.begin(request);
                 Thread.sleep(workMillis);
                 Http.write(out, "HTTP/1.1 200 OK", "X-Attempt-Id: " + attempt + "\r\nX-Response-Signature: " + id + "."
-                    + attempt + "\r\nContent-Type: text/plain\r\n", ("done " + attempt).getBytes(StandardCharsets.UTF_8));
+                    + attempt + "\r\nContent-Type: text/plain\r\n",
+                    Arrays.copyOf(("done " + attempt).getBytes(StandardCharsets.UTF_8), answerBytes.of(request)));
                 record.line("%s: has answered %s", id, attempt);
             }
         } catch (IOException e) {
