--- a/review/stand-2/src/Replica.java
+++ b/review/stand-2/src/Replica.java
@@ -21,6 +21,7 @@
     final ServerSocket server;
     private final Record record;
     private final Store store;
+    private final long born = System.currentTimeMillis();
     private long sequence;
 
     /** Receives each request that begins to run. */
@@ -70,7 +71,7 @@
     private void register() {
         store.put("servers", id, "{\"service\":\"" + service + "\",\"address\":\"" + server.getInetAddress().getHostAddress()
             + ":" + server.getLocalPort() + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\","
-            + "\"coldRemainingMs\":0,\"sequence\":" + sequence++ + "}");
+            + "\"coldRemainingMs\":0,\"born\":" + born + ",\"sequence\":" + sequence++ + "}");
     }
 
     private void beat() {
